--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,8 @@
+//! The decisions of sagetrail and the plain types they are spoken in.
+mod pcg;
+mod policy;
+mod ring;
+mod terms;
+
+pub use policy::{Dispatcher, Wi};
+pub use terms::*;
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,807 @@
+//! Every decision of sagetrail. How to call it: make a `Dispatcher` from its `Terms` and a seed, tell it the list
+//! with `listed`, take work items with `take`, and tell each handle (`Wi`) what becomes of it: `started`,
+//! `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes due, call `decide`:
+//! it visits the runners and acts through the `Host`. The interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`)
+//! is defined in `terms.rs`.
+use crate::pcg::Pcg;
+use crate::ring::Ring;
+use crate::terms::*;
+use std::collections::VecDeque;
+use std::mem::take;
+
+/// P-min: above 1 - 1/e - 0.05 a runner without the key is passed over while one runner in twelve has it.
+const P_MIN: f64 = 0.6;
+/// A key table entry lasts this long (DESIGN).
+const KEY_AGE_S: f64 = 30.0;
+/// The slot cap of a runner that reports nothing starts here (DESIGN).
+const CAP_START: f64 = 2.0;
+/// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
+const LOOK_S: f64 = 0.1;
+
+/// A work item's handle.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Wi(pub u32);
+
+struct HandOff {
+    runner: usize,
+    no: u16,
+    sent: f64,
+    started: Option<f64>,
+    /// When the last sign came that it moves, and how much of it was done by then.
+    moved: f64,
+    share: f64,
+    doubts: u32,
+    cancelled: bool,
+    at_cap: bool,
+}
+
+struct Work {
+    job: Job,
+    taken: f64,
+    live: bool,
+    ended: bool,
+    beyond: bool,
+    made: u16,
+    out: Option<HandOff>,
+    /// Since when, and on which runner, it may have run.
+    ran: Option<(f64, usize)>,
+    /// The runner that last failed it, passed over until then.
+    avoid: (usize, f64),
+    /// P at a runner that does not hold its key, for the present pass.
+    odds: f64,
+}
+
+struct Runner {
+    at: Listed,
+    mine: f64,
+    memory: f64,
+    told: u8,
+    theirs: Vec<f64>,
+    /// Free slots by report plus the slots known taken then; memory alike.
+    seen_slots: Ring<f64, 8>,
+    seen_memory: Ring<f64, 8>,
+    reported: f64,
+    cap: f64,
+    ceiling: (f64, f64),
+    keys: Ring<(u64, f64), 8>,
+    paces: Ring<f64, 8>,
+    cold_sent: VecDeque<(f64, f64)>,
+    full_until: f64,
+    heard: f64,
+    evidence: f64,
+    resting: Option<f64>,
+    rest_s: f64,
+    trial: bool,
+}
+
+pub struct Dispatcher {
+    terms: Terms,
+    pcg: Pcg,
+    works: Vec<Work>,
+    free: Vec<u32>,
+    held: Vec<u32>,
+    runners: Vec<Runner>,
+    open: Vec<usize>,
+    runs: Vec<Ring<f64, 32>>,
+    ratios: Ring<f64, 64>,
+    arrivals: Vec<VecDeque<f64>>,
+    peer_heard: Vec<f64>,
+    next_tell: f64,
+    next_look: f64,
+    next_ask: f64,
+    ask_again_s: f64,
+    wake_at: f64,
+}
+
+impl Wi {
+    /// The hand-off's job has started.
+    pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
+        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
+        ho.started = Some(now);
+        ho.moved = now;
+        let (waited, r) = (now - ho.sent, ho.runner);
+        d.runners[r].heard = now;
+        // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
+        // start is the first sign, and counts as a soft 'full'. 0.1 s is several times a connection's cost.
+        if !d.terms.reports_in_answers && waited > 0.1 {
+            let running = d.works.iter().filter_map(|w| w.out.as_ref());
+            let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
+            let runner = &mut d.runners[r];
+            if running < runner.cap {
+                runner.cap = running.max(1.0);
+                runner.ceiling = (runner.cap, now);
+            }
+        }
+    }
+
+    /// So much of the hand-off's job is done.
+    pub fn progressed(self, d: &mut Dispatcher, now: f64, no: u16, share: f64) {
+        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
+        ho.moved = now;
+        ho.share = share;
+        let r = ho.runner;
+        d.runners[r].heard = now;
+    }
+
+    /// The client has gone; nothing is owed any more.
+    pub fn left(self, d: &mut Dispatcher, host: &mut impl Host) {
+        d.held.retain(|&w| w != self.0);
+        d.works[self.0 as usize].ended = true;
+        d.cancel(host, self.0);
+        d.release(host, self.0);
+    }
+
+    /// A hand-off has come back.
+    pub fn outcome(
+        self,
+        d: &mut Dispatcher,
+        host: &mut impl Host,
+        no: u16,
+        outcome: Outcome,
+        settled: bool,
+        report: Report,
+    ) {
+        let now = host.now();
+        let work = &mut d.works[self.0 as usize];
+        let Some(ho) = work.out.take_if(|ho| ho.no == no) else { return };
+        let job = work.job;
+        d.runners[ho.runner].mine -= job.slots;
+        d.runners[ho.runner].memory -= job.memory;
+        d.report(ho.runner, now, report);
+        d.learn(&job, &ho, now, outcome);
+        let work = &mut d.works[self.0 as usize];
+        work.ended |= settled;
+        if !outcome.never_ran() && outcome != Outcome::Finished {
+            work.ran.get_or_insert((ho.sent, ho.runner));
+        }
+        if work.ended {
+            return d.release(host, self.0);
+        }
+        // 20 ms: a time-out trimmed to the expiry arrives within a batch or two of it.
+        if now > job.expiry - 0.02 {
+            return d.end(host, self.0, false);
+        }
+        // Guards against giving the same failing runner its work straight back.
+        work.avoid = (ho.runner, now + 1.0);
+        if !d.may_resend(self.0, now) {
+            return d.give_up(host, self.0);
+        }
+        let taken = d.works[self.0 as usize].taken;
+        let place = d.held.partition_point(|&w| d.works[w as usize].taken <= taken);
+        d.held.insert(place, self.0);
+    }
+}
+
+impl Dispatcher {
+    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
+        let mut pcg = Pcg::new(seed);
+        // Spread, since all dispatchers may start together and the list answers few calls a second.
+        let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
+        Dispatcher {
+            runs: vec![Ring::default(); terms.categories.len()],
+            arrivals: vec![VecDeque::new(); terms.quotas.len()],
+            peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
+            terms,
+            pcg,
+            works: Vec::new(),
+            free: Vec::new(),
+            held: Vec::new(),
+            runners: Vec::new(),
+            open: Vec::new(),
+            ratios: Ring::default(),
+            next_tell: now,
+            next_look: now,
+            next_ask,
+            ask_again_s: 0.3,
+            wake_at: f64::INFINITY,
+        }
+    }
+
+    /// Takes a work item of a known category; it is held until `decide` finds it a runner.
+    pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
+        self.terms.categories.get(job.category)?;
+        let beyond = self.beyond_share(now, job.customer);
+        let work = Work {
+            job,
+            taken: now,
+            live: true,
+            ended: false,
+            beyond,
+            made: 0,
+            out: None,
+            ran: None,
+            avoid: (usize::MAX, now),
+            odds: 0.0,
+        };
+        let id = self.free.pop().unwrap_or(self.works.len() as u32);
+        if id as usize == self.works.len() {
+            self.works.push(work);
+        } else {
+            self.works[id as usize] = work;
+        }
+        self.held.push(id);
+        Some(Wi(id))
+    }
+
+    /// What the list says. `None` for a runner means it is gone.
+    pub fn listed(&mut self, now: f64, news: News, entries: &[(usize, Option<Listed>)]) {
+        if news != News::Changes {
+            self.runners.iter_mut().for_each(|r| r.at.ready = false);
+        }
+        for &(index, listed) in entries {
+            while self.runners.len() <= index {
+                self.runners.push(Runner::new(self.terms.replicas));
+            }
+            let runner = &mut self.runners[index];
+            match listed {
+                None => runner.at.ready = false,
+                Some(listed) => {
+                    // A restart forgets keys, room and verdicts: the new process has none of them.
+                    if listed.born > runner.at.born + 1e-6 {
+                        runner.restart();
+                    }
+                    runner.at = listed;
+                }
+            }
+        }
+        if self.terms.asks_for_list && news != News::Cached {
+            self.next_ask = f64::INFINITY;
+            self.ask_again_s = 0.3;
+        }
+        self.next_look = now;
+    }
+
+    /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
+    pub fn list_failed(&mut self, now: f64) {
+        if self.terms.asks_for_list {
+            self.next_ask = now + self.ask_again_s * (0.5 + self.pcg.chance());
+            self.ask_again_s = (2.0 * self.ask_again_s).min(self.terms.must_ask_s / 8.0);
+        }
+    }
+
+    /// A peer tells how many slots of a runner its own work holds.
+    pub fn peer_holds(&mut self, now: f64, peer: usize, runner: usize, slots: f64) {
+        if let Some(theirs) = self.runners.get_mut(runner).and_then(|r| r.theirs.get_mut(peer)) {
+            *theirs = slots;
+            self.peer_heard[peer] = now;
+        }
+    }
+
+    /// Looks at what has become due, then visits the runners. Call once after each batch of news.
+    pub fn decide(&mut self, host: &mut impl Host) {
+        let now = host.now();
+        // Guards against a wake that comes due a rounding error early: 1 us is the clock's own grain.
+        let by = now + 1e-6;
+        if by >= self.next_ask {
+            host.watch();
+            self.next_ask = now + self.terms.must_ask_s * (0.3 + 0.2 * self.pcg.chance());
+        }
+        if by >= self.next_look {
+            self.next_look = now + LOOK_S;
+            self.look(host);
+        }
+        self.pass(host);
+        self.tell(host);
+        let busy = self.works.len() > self.free.len();
+        let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
+        if self.wake_at <= by {
+            self.wake_at = f64::INFINITY;
+        }
+        if next < self.wake_at - 1e-6 {
+            self.wake_at = next;
+            host.wake((next - now).max(0.0));
+        }
+    }
+
+    // ---- the mechanism ----
+
+    fn pass(&mut self, host: &mut impl Host) {
+        if self.held.is_empty() {
+            return;
+        }
+        let now = host.now();
+        let mut open = take(&mut self.open);
+        open.clear();
+        open.extend((0..self.runners.len()).filter(|&r| self.has_room(r, now)));
+        for i in (1..open.len()).rev() {
+            open.swap(i, self.pcg.below(i + 1));
+        }
+        for &w in &self.held {
+            let key = self.works[w as usize].job.key;
+            let others = open.iter().filter(|&&r| !self.runners[r].holds(key, now)).count();
+            self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len().max(1) as f64).exp();
+        }
+        let crowded = self.crowded(now);
+        for &r in &open {
+            while self.has_room(r, now) {
+                let Some((place, p)) = self.largest(r, now, crowded) else { break };
+                if p < P_MIN || self.pcg.chance() >= p {
+                    break;
+                }
+                self.send(host, place, r);
+            }
+        }
+        // What every runner skipped takes its cheapest.
+        let mut place = 0;
+        open.retain(|&r| self.has_room(r, now));
+        while place < self.held.len() && !open.is_empty() {
+            let w = self.held[place];
+            let key = self.works[w as usize].job.key;
+            let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
+            match fitting.min_by_key(|&r| !self.runners[r].holds(key, now)) {
+                Some(r) => {
+                    self.send(host, place, r);
+                    open.retain(|&r| self.has_room(r, now));
+                }
+                None => place += 1,
+            }
+        }
+        self.open = open;
+    }
+
+    /// The held work item with the largest P at a runner; ties to the longest held.
+    fn largest(&self, r: usize, now: f64, crowded: bool) -> Option<(usize, f64)> {
+        let mut best: Option<(usize, f64, f64)> = None;
+        for (place, &w) in self.held.iter().enumerate() {
+            if !self.fits(w, r, now) {
+                continue;
+            }
+            let work = &self.works[w as usize];
+            let p = if self.runners[r].holds(work.job.key, now) { 1.0 } else { work.odds };
+            let value = if crowded { self.value(w, now) } else { 0.0 };
+            if best.is_none_or(|(_, v, q)| value > v || value == v && p > q) {
+                best = Some((place, value, p));
+            }
+        }
+        best.map(|(place, _, p)| (place, p))
+    }
+
+    /// Not all that is held can be done in time: something has waited half its spare time already.
+    fn crowded(&self, now: f64) -> bool {
+        self.held.iter().any(|&w| {
+            let work = &self.works[w as usize];
+            now > work.taken + 0.5 * self.terms.categories[work.job.category].due_s
+        })
+    }
+
+    /// What a work item still pays for a second of a slot.
+    fn value(&self, w: u32, now: f64) -> f64 {
+        let work = &self.works[w as usize];
+        let category = &self.terms.categories[work.job.category];
+        let run = self.expected(&work.job);
+        let late = if now + run > self.due(w) { category.tardy } else { 1.0 };
+        let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
+        let size = if self.terms.payoff_by_work { 1.0 } else { self.usual(work.job.category).max(1e-3) };
+        category.payoff * late * share / size
+    }
+
+    fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
+        let now = host.now();
+        let w = self.held.remove(place);
+        let size = self.expected(&self.works[w as usize].job) * self.works[w as usize].job.slots;
+        let runner = &mut self.runners[r];
+        let work = &mut self.works[w as usize];
+        runner.mine += work.job.slots;
+        runner.memory += work.job.memory;
+        if now < runner.at.born + self.terms.cold_s {
+            runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
+            runner.cold_sent.push_back((now, size));
+        }
+        if runner.resting.is_some() {
+            runner.trial = true;
+        }
+        work.out = Some(HandOff {
+            runner: r,
+            no: work.made,
+            sent: now,
+            started: None,
+            moved: now,
+            share: 0.0,
+            doubts: 0,
+            cancelled: false,
+            at_cap: runner.mine >= runner.cap,
+        });
+        work.made += 1;
+        host.hand_off(Wi(w), r, work.job.expiry);
+    }
+
+    // ---- room ----
+
+    fn known(&self, r: usize, now: f64) -> f64 {
+        let runner = &self.runners[r];
+        // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
+        let fresh =
+            |(peer, slots): (usize, &f64)| if now < self.peer_heard[peer] + 5.0 { *slots } else { 0.0 };
+        runner.mine + runner.theirs.iter().enumerate().map(fresh).sum::<f64>()
+    }
+
+    fn room(&self, r: usize, now: f64) -> f64 {
+        let runner = &self.runners[r];
+        match runner.seen_slots.mean() {
+            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r, now)).round(),
+            _ => runner.cap.floor() - runner.mine,
+        }
+    }
+
+    fn has_room(&self, r: usize, now: f64) -> bool {
+        let runner = &self.runners[r];
+        if !runner.at.ready
+            || now < runner.full_until
+            || runner.resting.is_some_and(|t| now < t || runner.trial)
+        {
+            return false;
+        }
+        // One job of any size fits where none of ours is, unless a report under 1 s old leaves no room: with
+        // many dispatchers a full runner is mostly full of others' work.
+        self.room(r, now) >= 1.0 || runner.mine <= 0.0 && now > runner.reported + 1.0
+    }
+
+    fn fits(&self, w: u32, r: usize, now: f64) -> bool {
+        let (work, runner) = (&self.works[w as usize], &self.runners[r]);
+        let category = &self.terms.categories[work.job.category];
+        let resting = runner.resting.is_some();
+        if !self.has_room(r, now)
+            || category.kind.is_some_and(|kind| kind != runner.at.kind)
+            || resting && category.repeat != Repeat::Rerunnable
+            || work.avoid.0 == r && now < work.avoid.1
+            || !self.may_go(w, r, now)
+        {
+            return false;
+        }
+        let idle = runner.mine <= 0.0;
+        let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
+        (idle || work.job.slots <= self.room(r, now) && work.job.memory <= memory)
+            && self.cold_allows(r, now, self.expected(&work.job) * work.job.slots)
+    }
+
+    /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of it,
+    /// stays under this dispatcher's part of what the rule allows in any span.
+    fn cold_allows(&self, r: usize, now: f64, size: f64) -> bool {
+        let runner = &self.runners[r];
+        let age = now - runner.at.born;
+        let t = &self.terms;
+        if age >= t.cold_s {
+            return true;
+        }
+        let warm = (age - t.fall_s).max(0.0) / t.cold_s;
+        let present = self.capacity(runner.at.kind, now) * (t.cold_from + (1.0 - t.cold_from) * warm);
+        // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
+        let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas.max(1) as f64;
+        let spent =
+            runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s).map(|(_, s)| s).sum::<f64>();
+        spent + size <= mine
+    }
+
+    /// What a warm runner of a kind does in a second, in the unit of `expected`: its slots over its pace, the
+    /// median of its like. 0.75 since slots may outnumber cores.
+    fn capacity(&self, kind: u8, now: f64) -> f64 {
+        let mut seen: Vec<f64> = Vec::new();
+        for runner in self.runners.iter().filter(|r| r.at.kind == kind && now > r.at.born + self.terms.cold_s)
+        {
+            let slots = runner.seen_slots.mean().unwrap_or(runner.cap);
+            seen.push(0.75 * slots / runner.paces.median().unwrap_or(1.0).max(0.1));
+        }
+        seen.sort_unstable_by(f64::total_cmp);
+        seen.get(seen.len() / 2).copied().unwrap_or(CAP_START)
+    }
+
+    fn report(&mut self, r: usize, now: f64, report: Report) {
+        let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
+        let known = self.known(r, now);
+        let (free, queue) = (figure(self.terms.free_slots_at), figure(self.terms.queue_at));
+        let memory = figure(self.terms.free_memory_at);
+        let runner = &mut self.runners[r];
+        if let Some(free) = free {
+            // None free tells only that the slots are at most those known taken.
+            let slots = free + known - queue.unwrap_or(0.0);
+            let before = runner.seen_slots.mean().unwrap_or(f64::INFINITY);
+            runner.seen_slots.push(if free < 0.5 { slots.min(before) } else { slots });
+            runner.reported = now;
+        }
+        if let Some(memory) = memory {
+            runner.seen_memory.push(memory + runner.memory);
+        }
+    }
+
+    // ---- what an outcome teaches ----
+
+    fn learn(&mut self, job: &Job, ho: &HandOff, now: f64, outcome: Outcome) {
+        let run = now - ho.started.unwrap_or(ho.sent);
+        let like = self.like(job);
+        let slow = self.slow_ratio();
+        let informed = job.hint.is_some() || !self.runs[job.category].samples().is_empty();
+        let ceiling_s = 10.0;
+        let runner = &mut self.runners[ho.runner];
+        match outcome {
+            Outcome::Finished => {
+                runner.heard = now;
+                runner.learn_key(job.key, now);
+                runner.paces.push(run / like);
+                let prompt = ho.started.is_none_or(|s| s - ho.sent < 0.1);
+                let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
+                if ho.at_cap && prompt && runner.cap < lid {
+                    runner.cap += job.slots;
+                }
+                self.runs[job.category].push(run);
+                self.ratios.push(run / like);
+                let bad = informed && run / like > slow;
+                self.weigh(ho.runner, now, if bad { 2.6 } else { -0.5 });
+            }
+            Outcome::Full => {
+                runner.cap = (runner.cap / 2.0).floor().max(1.0);
+                runner.full_until = now + 0.2;
+            }
+            Outcome::Error | Outcome::NoConnection | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
+            Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
+        }
+        self.runners[ho.runner].trial = false;
+    }
+
+    /// The sequential test: log odds of 'unwell' (4 in 10 bad) against 'well' (3 in 100 bad). A bad sign adds
+    /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then gets a
+    /// single trial. No more than half of the ready runners rest at once: then the trouble is not theirs.
+    fn weigh(&mut self, r: usize, now: f64, sign: f64) {
+        let ready = self.runners.iter().filter(|x| x.at.ready).count();
+        let resting = self.runners.iter().filter(|x| x.at.ready && x.resting.is_some()).count();
+        let runner = &mut self.runners[r];
+        runner.evidence = (runner.evidence + sign).clamp(0.0, 6.0);
+        if runner.resting.is_some() && runner.trial {
+            if sign < 0.0 {
+                runner.resting = None;
+                runner.evidence = 2.0;
+            } else if sign > 0.0 {
+                runner.rest_s = (2.0 * runner.rest_s).min(6.0);
+                runner.resting = Some(now + runner.rest_s);
+            }
+        } else if runner.resting.is_none() && runner.evidence > 4.5 && 2 * (resting + 1) <= ready {
+            runner.resting = Some(now + runner.rest_s);
+        } else if runner.evidence == 0.0 {
+            runner.rest_s = REST_S;
+        }
+    }
+
+    /// Twice the time that four in five take, as a ratio to what is expected: far out for any spread of sizes.
+    fn slow_ratio(&self) -> f64 {
+        let mut sorted = [0.0; 64];
+        let seen = self.ratios.samples();
+        if seen.len() < 8 {
+            return f64::INFINITY;
+        }
+        let sorted = &mut sorted[..seen.len()];
+        sorted.copy_from_slice(seen);
+        sorted.sort_unstable_by(f64::total_cmp);
+        2.0 * sorted[sorted.len() * 4 / 5]
+    }
+
+    fn usual(&self, category: usize) -> f64 {
+        self.runs[category].mean().unwrap_or(self.terms.categories[category].due_s)
+    }
+
+    fn expected(&self, job: &Job) -> f64 {
+        job.hint.unwrap_or_else(|| self.usual(job.category))
+    }
+
+    /// What a run is compared with: fetching its key costs a small job a part of a usual one.
+    fn like(&self, job: &Job) -> f64 {
+        let usual = self.usual(job.category);
+        job.hint.map_or(usual, |hint| hint + 0.25 * usual).max(1e-3)
+    }
+
+    fn due(&self, w: u32) -> f64 {
+        let work = &self.works[w as usize];
+        let category = &self.terms.categories[work.job.category];
+        (work.taken + category.due_s + category.stretch * self.expected(&work.job)).min(work.job.expiry)
+    }
+
+    fn beyond_share(&mut self, now: f64, customer: usize) -> bool {
+        let part = self.terms.quotas.get(customer).map(|q| q / self.terms.replicas.max(1) as f64);
+        let Some(part) = part else { return false };
+        let seen = &mut self.arrivals[customer];
+        // 4 s: long enough to smooth single arrivals, short enough to see a customer's burst.
+        while seen.front().is_some_and(|&t| t < now - 4.0) {
+            seen.pop_front();
+        }
+        seen.push_back(now);
+        seen.len() as f64 > 4.0 * part + 1.0
+    }
+
+    // ---- the rules on effects ----
+
+    fn may_go(&self, w: u32, r: usize, now: f64) -> bool {
+        let work = &self.works[w as usize];
+        let Some((since, first)) = work.ran else { return true };
+        let category = &self.terms.categories[work.job.category];
+        let (a, b) = (&self.runners[first].at, &self.runners[r].at);
+        match category.repeat {
+            Repeat::Rerunnable => true,
+            Repeat::Exclusive => false,
+            Repeat::Ticketed(scope) => {
+                now < since + category.window_s - 0.05
+                    && match scope {
+                        Scope::All => true,
+                        Scope::Zone => a.zone == b.zone,
+                        Scope::Cell => a.cell == b.cell,
+                    }
+            }
+        }
+    }
+
+    fn may_resend(&self, w: u32, now: f64) -> bool {
+        let work = &self.works[w as usize];
+        work.made < self.terms.most_hand_offs && work.ran.is_none_or(|(_, first)| self.may_go(w, first, now))
+    }
+
+    fn may_defer(&self, w: u32) -> bool {
+        let work = &self.works[w as usize];
+        let repeat = self.terms.categories[work.job.category].repeat;
+        work.ran.is_none() || matches!(repeat, Repeat::Rerunnable | Repeat::Ticketed(Scope::All))
+    }
+
+    fn give_up(&mut self, host: &mut impl Host, w: u32) {
+        let may_defer = self.may_defer(w);
+        self.end(host, w, may_defer);
+    }
+
+    fn end(&mut self, host: &mut impl Host, w: u32, defer: bool) {
+        self.works[w as usize].ended = true;
+        if defer {
+            let backlog: f64 = self.held.iter().map(|&h| self.expected(&self.works[h as usize].job)).sum();
+            let ready = self.runners.iter().filter(|r| r.at.ready).count().max(1) as f64;
+            host.defer(Wi(w), (0.2 + backlog / ready).min(self.terms.max_come_back_s));
+        } else {
+            host.write_off(Wi(w));
+        }
+        self.release(host, w);
+    }
+
+    fn release(&mut self, host: &mut impl Host, w: u32) {
+        let work = &mut self.works[w as usize];
+        if work.live && work.ended && work.out.is_none() {
+            work.live = false;
+            self.free.push(w);
+            host.forget(Wi(w));
+        }
+    }
+
+    fn cancel(&mut self, host: &mut impl Host, w: u32) {
+        if let Some(ho) = self.works[w as usize].out.as_mut().filter(|ho| !ho.cancelled) {
+            if self.terms.may_cancel {
+                ho.cancelled = true;
+                host.cancel(Wi(w), ho.no);
+            }
+        }
+    }
+
+    // ---- what time alone brings ----
+
+    fn look(&mut self, host: &mut impl Host) {
+        let now = host.now();
+        for place in (0..self.held.len()).rev() {
+            let w = self.held[place];
+            if now > self.patience(w) || !self.may_resend(w, now) || !self.has_kind(w) {
+                self.held.remove(place);
+                self.give_up(host, w);
+            }
+        }
+        for w in 0..self.works.len() as u32 {
+            if self.works[w as usize].live && self.works[w as usize].out.is_some() {
+                self.doubt(host, w, now);
+            }
+        }
+    }
+
+    /// Until when a held work item is worth holding.
+    fn patience(&self, w: u32) -> f64 {
+        let work = &self.works[w as usize];
+        let (due, run) = (self.due(w), self.expected(&work.job));
+        let tardy = self.terms.categories[work.job.category].tardy;
+        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 0.5 * run };
+        // Never into the expiry itself: two looks before it the answer is given whatever it is.
+        last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
+    }
+
+    fn has_kind(&self, w: u32) -> bool {
+        let kind = self.terms.categories[self.works[w as usize].job.category].kind;
+        self.runners.iter().any(|r| r.at.ready && kind.is_none_or(|k| k == r.at.kind))
+    }
+
+    /// Silence and standing still are evidence too. Guards against runners that take work and answer nothing.
+    fn doubt(&mut self, host: &mut impl Host, w: u32, now: f64) {
+        let work = &self.works[w as usize];
+        let Some(ho) = work.out.as_ref().filter(|ho| !ho.cancelled) else { return };
+        let (r, run) = (ho.runner, self.expected(&work.job));
+        // Several times what a start takes; notes of progress come on their own beat.
+        let quiet_s = match ho.started {
+            None if self.terms.tells_start => 0.35,
+            Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s,
+            _ => 0.35 + 3.0 * run,
+        };
+        let heard = if ho.started.is_some() { ho.moved } else { ho.moved.max(self.runners[r].heard) };
+        let silent = now - heard > quiet_s * (1.0 + ho.doubts as f64);
+        let rerun = self.terms.categories[work.job.category].repeat != Repeat::Exclusive;
+        if silent {
+            self.works[w as usize].out.as_mut().unwrap().doubts += 1;
+            self.weigh(r, now, 2.6);
+        }
+        let ho = self.works[w as usize].out.as_ref().unwrap();
+        let left = if ho.share > 0.0 { (ho.moved - ho.sent) / ho.share * (1.0 - ho.share) } else { 0.0 };
+        let stuck = ho.doubts > 0 && now - ho.moved > quiet_s || left > 2.0 * run && now + left > self.due(w);
+        // Only off a runner judged unwell, and only while another try can still end in time.
+        if stuck && rerun && self.runners[r].resting.is_some() && self.may_resend(w, now) {
+            self.cancel(host, w);
+        }
+    }
+
+    /// Peers hear how many slots of a runner this dispatcher's work holds, whenever that changes; all of it again
+    /// every 2 s, so that a lost message does not stand.
+    fn tell(&mut self, host: &mut impl Host) {
+        let now = host.now();
+        if !self.terms.peers || self.terms.replicas < 2 {
+            return;
+        }
+        let whole = now >= self.next_tell;
+        let mut news: Vec<(usize, u8)> = Vec::new();
+        for (r, runner) in self.runners.iter_mut().enumerate() {
+            let mine = runner.mine.round().clamp(0.0, 255.0) as u8;
+            if mine != runner.told || whole && mine > 0 {
+                runner.told = mine;
+                news.push((r, mine));
+            }
+        }
+        if whole {
+            self.next_tell = now + 2.0;
+        }
+        if !news.is_empty() {
+            host.tell_peers(&news);
+        }
+    }
+}
+
+/// A rest's first length: a pause of a healthy runner is over by then, a real trouble rarely is.
+const REST_S: f64 = 1.5;
+
+impl Runner {
+    fn new(peers: usize) -> Self {
+        Runner {
+            at: Listed { kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
+            mine: 0.0,
+            memory: 0.0,
+            told: 0,
+            theirs: vec![0.0; peers],
+            seen_slots: Ring::default(),
+            seen_memory: Ring::default(),
+            reported: f64::NEG_INFINITY,
+            cap: CAP_START,
+            ceiling: (f64::INFINITY, f64::NEG_INFINITY),
+            keys: Ring::default(),
+            paces: Ring::default(),
+            cold_sent: VecDeque::new(),
+            full_until: f64::NEG_INFINITY,
+            heard: f64::NEG_INFINITY,
+            evidence: 0.0,
+            resting: None,
+            rest_s: REST_S,
+            trial: false,
+        }
+    }
+
+    fn restart(&mut self) {
+        let old = std::mem::replace(self, Runner::new(self.theirs.len()));
+        (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
+        self.cold_sent = old.cold_sent;
+    }
+
+    fn holds(&self, key: u64, now: f64) -> bool {
+        key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
+    }
+
+    fn learn_key(&mut self, key: u64, now: f64) {
+        if key == 0 {
+            return;
+        }
+        match self.keys.samples_mut().iter_mut().find(|(k, _)| *k == key) {
+            Some(entry) => entry.1 = now,
+            None => self.keys.push((key, now)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/ring.rs
@@ -0,0 +1,42 @@
+/// The last `N` samples of something measured, oldest overwritten first.
+#[derive(Clone)]
+pub struct Ring<T, const N: usize> {
+    kept: [T; N],
+    len: usize,
+    at: usize,
+}
+
+impl<T: Copy + Default, const N: usize> Default for Ring<T, N> {
+    fn default() -> Self {
+        Ring { kept: [T::default(); N], len: 0, at: 0 }
+    }
+}
+
+impl<T: Copy + Default, const N: usize> Ring<T, N> {
+    pub fn push(&mut self, sample: T) {
+        self.kept[self.at] = sample;
+        self.at = (self.at + 1) % N;
+        self.len = N.min(self.len + 1);
+    }
+
+    pub fn samples(&self) -> &[T] {
+        &self.kept[..self.len]
+    }
+
+    pub fn samples_mut(&mut self) -> &mut [T] {
+        &mut self.kept[..self.len]
+    }
+}
+
+impl<const N: usize> Ring<f64, N> {
+    pub fn mean(&self) -> Option<f64> {
+        (self.len > 0).then(|| self.samples().iter().sum::<f64>() / self.len as f64)
+    }
+
+    pub fn median(&self) -> Option<f64> {
+        let mut sorted = self.kept;
+        let sorted = &mut sorted[..self.len];
+        sorted.sort_unstable_by(f64::total_cmp);
+        sorted.get(self.len / 2).copied()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/terms.rs
@@ -0,0 +1,127 @@
+//! What is agreed at start, what arrives, and what the decisions may ask of their host.
+use crate::Wi;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Rerunnable,
+    Ticketed(Scope),
+    Exclusive,
+}
+
+/// The runners that drop a ticketed work item's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Category {
+    pub due_s: f64,
+    /// The due time grows by this many times the work item's own work.
+    pub stretch: f64,
+    pub payoff: f64,
+    /// The fraction of the payoff left between due time and expiry.
+    pub tardy: f64,
+    pub repeat: Repeat,
+    pub window_s: f64,
+    pub kind: Option<u8>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    pub replicas: usize,
+    pub asks_for_list: bool,
+    pub reports_in_answers: bool,
+    /// Where in a load report each figure stands.
+    pub free_slots_at: Option<usize>,
+    pub queue_at: Option<usize>,
+    pub free_memory_at: Option<usize>,
+    pub tells_start: bool,
+    pub progress_s: f64,
+    pub may_cancel: bool,
+    pub peers: bool,
+    /// The longest wait a client follows; zero where no advice is passed on.
+    pub max_come_back_s: f64,
+    pub most_hand_offs: u16,
+    pub cold_from: f64,
+    pub cold_s: f64,
+    pub fall_multiple: f64,
+    pub fall_s: f64,
+    pub must_ask_s: f64,
+    pub payoff_by_work: bool,
+    pub beyond_share: f64,
+    pub categories: Vec<Category>,
+    /// Work items a second inside each customer's share, all dispatchers together.
+    pub quotas: Vec<f64>,
+}
+
+/// A work item as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    pub category: usize,
+    pub customer: usize,
+    pub key: u64,
+    pub expiry: f64,
+    pub hint: Option<f64>,
+    pub slots: f64,
+    pub memory: f64,
+}
+
+/// A runner as the list names it.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub kind: u8,
+    pub born: f64,
+    pub cell: u16,
+    pub zone: u16,
+    pub ready: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Only what changed.
+    Changes,
+    /// The whole list.
+    Whole,
+    /// The whole list as held before a restart.
+    Cached,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Error,
+    Finished,
+    Full,
+    Timeout,
+    NoConnection,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+    }
+}
+
+/// A load report's figures; none at all when it is empty.
+pub type Report<'a> = &'a [f32];
+
+/// What the decisions ask of whoever carries them out. Times are seconds on the batch's clock.
+pub trait Host {
+    fn now(&self) -> f64;
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64);
+    fn defer(&mut self, wi: Wi, come_back_s: f64);
+    fn write_off(&mut self, wi: Wi);
+    fn cancel(&mut self, wi: Wi, ho: u16);
+    /// The handle is void from here on and may be given out again.
+    fn forget(&mut self, wi: Wi);
+    fn wake(&mut self, in_s: f64);
+    fn watch(&mut self);
+    /// Tells every peer how many slots of a few runners this dispatcher's work holds.
+    fn tell_peers(&mut self, held: &[(usize, u8)]);
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/crates/simhost/src/decode.rs
@@ -0,0 +1,121 @@
+//! Reads the `Info` of an instance's start into the terms that the decisions know.
+use sagetrail_policy::{Category, Repeat, Scope, Terms};
+use std::collections::HashMap;
+
+struct Info<'a>(HashMap<&'a str, &'a str>);
+
+impl Info<'_> {
+    fn text(&self, path: &str) -> &str {
+        self.0.get(path).copied().unwrap_or("")
+    }
+
+    fn number(&self, path: &str) -> Result<f64, String> {
+        match self.text(path) {
+            "" => Ok(0.0),
+            text => match text.parse::<f64>() {
+                Ok(number) if number.is_finite() => Ok(number),
+                _ => Err(format!("setting {path}: '{text}' is not a number")),
+            },
+        }
+    }
+
+    fn seconds(&self, path: &str) -> Result<f64, String> {
+        Ok(self.number(path)? / 1e6)
+    }
+
+    fn count(&self, path: &str) -> Result<usize, String> {
+        let number = self.number(path)?;
+        if (0.0..=65535.0).contains(&number) && number.fract() == 0.0 {
+            return Ok(number as usize);
+        }
+        Err(format!("setting {path}: '{number}' is not a count"))
+    }
+
+    fn yes(&self, path: &str) -> Result<bool, String> {
+        match self.text(path) {
+            "true" => Ok(true),
+            "false" | "" => Ok(false),
+            text => Err(format!("setting {path}: '{text}' is neither true nor false")),
+        }
+    }
+
+    /// The numbers of a comma list; the one at `place`, if it is there.
+    fn listed(&self, path: &str, place: usize) -> Result<Option<f64>, String> {
+        match self.text(path).split(',').nth(place) {
+            None | Some("") => Ok(None),
+            Some(text) => {
+                text.parse().map(Some).map_err(|_| format!("setting {path}: '{text}' is not a number"))
+            }
+        }
+    }
+}
+
+pub fn terms(info: &[u8]) -> Result<Terms, String> {
+    let info = std::str::from_utf8(info).map_err(|_| "settings are not UTF-8".to_string())?;
+    let lines = info.lines().filter(|line| !line.trim().is_empty());
+    let pairs: Result<HashMap<_, _>, _> = lines
+        .map(|line| line.split_once('=').ok_or_else(|| format!("setting line '{line}' has no '='")))
+        .collect();
+    let info = Info(pairs?);
+    let fields: Vec<&str> = info.text("Report.Fields").split(',').collect();
+    let field = |name: &str| fields.iter().position(|f| *f == name);
+    let meaning = |name: &str| match info.text("Domain.ReportX0") == name {
+        true => field("x0"),
+        false if info.text("Domain.ReportX1") == name => field("x1"),
+        false => None,
+    };
+    let memory = meaning("free_memory");
+    let mut categories = Vec::new();
+    for n in 0..info.count("Categories.count")? {
+        let path = |leaf: &str| format!("Categories.{n}.{leaf}");
+        let scope = match info.text(&path("DedupScope")) {
+            "zone" => Scope::Zone,
+            "cell" => Scope::Cell,
+            _ => Scope::All,
+        };
+        let repeat = match info.text(&path("Repeat")) {
+            "read_like" => Repeat::Rerunnable,
+            "idempotency_key" => Repeat::Ticketed(scope),
+            "non_idempotent" => Repeat::Exclusive,
+            other => return Err(format!("setting {}: '{other}' is not known", path("Repeat"))),
+        };
+        let stretch = info.number(&path("AimStretch"))?;
+        categories.push(Category {
+            due_s: info.seconds(&path("DueTimeUs"))?,
+            stretch: info.listed("Domain.ClassStretch", n)?.unwrap_or(stretch),
+            payoff: info.number(&path("Payoff"))?,
+            tardy: info.number(&path("TardyPayoff"))?,
+            repeat,
+            window_s: info.seconds(&path("WindowUs"))?,
+            kind: info.listed("Domain.ClassKind", n)?.filter(|kind| *kind >= 0.0).map(|kind| kind as u8),
+        });
+    }
+    let mut quotas = Vec::new();
+    for n in 0..info.count("Orgs.count")? {
+        quotas.push(info.number(&format!("Orgs.{n}.QuotaRps"))?);
+    }
+    let retry_after = info.yes("Limits.RetryAfter")?;
+    Ok(Terms {
+        replicas: info.count("ReplicasOfMe")?.max(1),
+        asks_for_list: info.text("Discovery") == "on_request",
+        reports_in_answers: info.text("Report.How") == "inline",
+        free_slots_at: meaning("free_slots"),
+        queue_at: field("queue"),
+        free_memory_at: memory,
+        tells_start: info.yes("Domain.TellsStart")?,
+        progress_s: info.seconds("Domain.ProgressUs")?,
+        may_cancel: info.yes("Limits.MayCancel")?,
+        peers: info.yes("Limits.Peers")?,
+        max_come_back_s: if retry_after { info.seconds("Limits.MaxRetryAfterUs")? } else { 0.0 },
+        most_hand_offs: info.count("Limits.MostHandOffs")? as u16,
+        cold_from: info.number("Safety.ColdFrom")?,
+        cold_s: info.seconds("Safety.ColdUs")?,
+        fall_multiple: info.number("Safety.FallMultiple")?,
+        fall_s: info.seconds("Safety.OverloadForUs")?,
+        must_ask_s: info.seconds("Safety.MustAskInUs")?,
+        payoff_by_work: info.text("PayoffBasis") == "work",
+        beyond_share: info.number("BeyondSharePayoff")?,
+        categories,
+        quotas,
+    })
+}
--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,266 @@
+//! The instances of one process: records become calls on their dispatchers, and answers become records.
+use crate::decode;
+use crate::frame::{Batch, Fields, Reply, ENTRY};
+use sagetrail_policy::{Dispatcher, Host, Job, Listed, News, Outcome, Wi};
+use std::collections::HashMap;
+
+type Address = [u8; 6];
+
+/// How the ids of the wire and the indices of the decisions map to each other.
+#[derive(Default)]
+struct Ids {
+    handles: HashMap<u32, Wi>,
+    client_ids: Vec<u32>,
+    runners: HashMap<Address, usize>,
+    addresses: Vec<Address>,
+}
+
+impl Ids {
+    fn runner(&mut self, address: Address) -> usize {
+        let next = self.addresses.len();
+        let index = *self.runners.entry(address).or_insert(next);
+        if index == next {
+            self.addresses.push(address);
+        }
+        index
+    }
+
+    fn client_id(&self, wi: Wi) -> [u8; 4] {
+        self.client_ids[wi.0 as usize].to_le_bytes()
+    }
+}
+
+struct Instance {
+    dispatcher: Dispatcher,
+    ids: Ids,
+    touched: bool,
+}
+
+/// One instance's side of the reply being written.
+struct Wire<'a> {
+    ids: &'a mut Ids,
+    reply: &'a mut Reply,
+    instance: u16,
+    now: f64,
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6).round().max(0.0) as u64
+}
+
+impl Host for Wire<'_> {
+    fn now(&self) -> f64 {
+        self.now
+    }
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64) {
+        let drop_at = micros(drop_at).to_le_bytes();
+        let fields: [&[u8]; 3] = [&self.ids.client_id(wi), &self.ids.addresses[runner], &drop_at];
+        self.reply.act(10, self.instance, &fields);
+    }
+    fn defer(&mut self, wi: Wi, come_back_s: f64) {
+        let wait = (micros(come_back_s) as u32).to_le_bytes();
+        self.reply.act(20, self.instance, &[&self.ids.client_id(wi), &wait]);
+    }
+    fn write_off(&mut self, wi: Wi) {
+        self.reply.act(30, self.instance, &[&self.ids.client_id(wi)]);
+    }
+    fn cancel(&mut self, wi: Wi, ho: u16) {
+        self.reply.act(40, self.instance, &[&self.ids.client_id(wi), &ho.to_le_bytes()]);
+    }
+    fn forget(&mut self, wi: Wi) {
+        self.ids.handles.remove(&self.ids.client_ids[wi.0 as usize]);
+    }
+    fn wake(&mut self, in_s: f64) {
+        // An hour at most: the wire's timers end a little later.
+        let wait = (micros(in_s.min(3600.0)) as u32).to_le_bytes();
+        self.reply.act(50, self.instance, &[&wait]);
+    }
+    fn watch(&mut self) {
+        self.reply.act(110, self.instance, &[&[1]]);
+    }
+    fn tell_peers(&mut self, held: &[(usize, u8)]) {
+        // A message holds 256 bytes; each runner told of takes 7.
+        for part in held.chunks(36) {
+            let mut text = Vec::with_capacity(7 * part.len());
+            for &(runner, slots) in part {
+                text.extend_from_slice(&self.ids.addresses[runner]);
+                text.push(slots);
+            }
+            let place = self.reply.text(&text);
+            self.reply.act(80, self.instance, &[&u32::MAX.to_le_bytes(), &place]);
+        }
+    }
+    fn log(&mut self, line: &str) {
+        let place = self.reply.text(line.as_bytes());
+        self.reply.act(90, self.instance, &[&place]);
+    }
+}
+
+#[derive(Default)]
+pub struct Process {
+    instances: Vec<Option<Instance>>,
+    touched: Vec<u16>,
+    rosters: Vec<Vec<(Address, Option<Listed>)>>,
+    entries: Vec<(usize, Option<Listed>)>,
+}
+
+impl Process {
+    /// Carries one batch to the instances and writes what they answer.
+    pub fn play(&mut self, batch: &Batch, reply: &mut Reply) -> Result<(), String> {
+        let now = batch.clock_us as f64 / 1e6;
+        for (place, record) in batch.records().enumerate() {
+            self.event(batch, record, now, reply).map_err(|e| format!("record {place}: {e}"))?;
+        }
+        for instance in std::mem::take(&mut self.touched) {
+            let Some(inst) = self.instances[instance as usize].as_mut().filter(|i| i.touched) else {
+                continue;
+            };
+            inst.touched = false;
+            inst.dispatcher.decide(&mut Wire { ids: &mut inst.ids, reply, instance, now });
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, batch: &Batch, record: Fields, now: f64, reply: &mut Reply) -> Result<(), String> {
+        let (code, instance) = (record.u8(0), record.u16(1));
+        match code {
+            10 => {
+                let terms = decode::terms(batch.tail(record, 11, 1)?)?;
+                let dispatcher = Dispatcher::new(terms, record.u64(3), now);
+                if self.instances.len() <= instance as usize {
+                    self.instances.resize_with(instance as usize + 1, || None);
+                }
+                let fresh = Instance { dispatcher, ids: Ids::default(), touched: false };
+                self.instances[instance as usize] = Some(fresh);
+            }
+            110 => {
+                let members = batch.tail(record, 3, ENTRY)?;
+                if instance > 15 {
+                    return Err(format!("roster number {instance} is past 15"));
+                }
+                if self.rosters.len() <= instance as usize {
+                    self.rosters.resize(instance as usize + 1, Vec::new());
+                }
+                self.rosters[instance as usize] =
+                    members.chunks_exact(ENTRY).map(|e| entry(Fields(e))).collect();
+                return Ok(());
+            }
+            20 | 30 | 40 | 50 | 60 | 70 | 80 | 90 | 100 | 120 => {}
+            other => return Err(format!("unknown event code {other}")),
+        }
+        let slot = self.instances.get_mut(instance as usize).filter(|slot| slot.is_some());
+        let slot = slot.ok_or_else(|| format!("code {code} for instance {instance}, which is not up"))?;
+        if code == 100 {
+            *slot = None;
+            return Ok(());
+        }
+        let Some(Instance { dispatcher, ids, touched }) = slot else { return Ok(()) };
+        if !*touched {
+            *touched = true;
+            self.touched.push(instance);
+        }
+        let known = ids.handles.get(&record.u32(3)).copied();
+        match code {
+            20 => {
+                let news = match record.u8(3) {
+                    4 => News::Changes,
+                    1 => News::Whole,
+                    0 => News::Cached,
+                    2 => {
+                        dispatcher.list_failed(now);
+                        return Ok(());
+                    }
+                    other => return Err(format!("unknown kind of list {other}")),
+                };
+                let roster = self.rosters.get(record.u16(8) as usize);
+                let roster = roster.ok_or_else(|| format!("roster {} was never sent", record.u16(8)))?;
+                self.entries.clear();
+                self.entries.extend(roster.iter().map(|(address, listed)| (ids.runner(*address), *listed)));
+                dispatcher.listed(now, news, &self.entries);
+            }
+            30 => {
+                let category = record.u8(7) as usize;
+                let flags = record.u8(40);
+                let job = Job {
+                    category,
+                    customer: record.u32(8) as usize,
+                    key: record.u64(12),
+                    expiry: record.u64(20) as f64 / 1e6,
+                    hint: (flags & 1 != 0).then(|| record.u32(28) as f64 / 1e6),
+                    slots: record.f32(32) as f64,
+                    memory: record.f32(36) as f64,
+                };
+                let wi =
+                    dispatcher.take(now, job).ok_or_else(|| format!("category {category} is not known"))?;
+                if ids.client_ids.len() <= wi.0 as usize {
+                    ids.client_ids.resize(wi.0 as usize + 1, 0);
+                }
+                ids.client_ids[wi.0 as usize] = record.u32(3);
+                ids.handles.insert(record.u32(3), wi);
+            }
+            40 => {
+                if let Some(wi) = known {
+                    wi.started(dispatcher, now, record.u16(7));
+                }
+            }
+            50 => {
+                let outcome = outcome(record.u16(15))?;
+                if let Some(wi) = known {
+                    let report: [f32; 4] = std::array::from_fn(|n| record.f32(27 + 4 * n));
+                    let report = &report[..(record.u8(26) as usize).min(4)];
+                    let mut wire = Wire { ids, reply, instance, now };
+                    wi.outcome(dispatcher, &mut wire, record.u16(7), outcome, record.u8(21) != 0, report);
+                }
+            }
+            60 => {
+                if let Some(wi) = known {
+                    wi.left(dispatcher, &mut Wire { ids, reply, instance, now });
+                }
+            }
+            90 => {
+                let contents = batch.tail(record, 5, 1)?;
+                for told in contents.chunks_exact(7) {
+                    if let Some(&runner) = ids.runners.get(&Fields(told).address(0)) {
+                        dispatcher.peer_holds(now, record.u16(3) as usize, runner, told[6] as f64);
+                    }
+                }
+            }
+            120 => match (known, record.u8(15)) {
+                (Some(wi), 1) => wi.started(dispatcher, now, record.u16(7)),
+                (Some(wi), 2) => wi.progressed(dispatcher, now, record.u16(7), record.f32(16) as f64),
+                _ => {}
+            },
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn entry(entry: Fields) -> (Address, Option<Listed>) {
+    let born = match entry.u64(1) {
+        0 => f64::NEG_INFINITY,
+        born => born as f64 / 1e6,
+    };
+    let listed = Listed {
+        kind: entry.u8(0),
+        born,
+        cell: entry.u16(15),
+        zone: entry.u16(17),
+        ready: entry.u8(19) == 1,
+    };
+    (entry.address(9), (entry.u8(19) != 0).then_some(listed))
+}
+
+fn outcome(code: u16) -> Result<Outcome, String> {
+    Ok(match code {
+        0 => Outcome::Error,
+        1 => Outcome::Finished,
+        2 => Outcome::Full,
+        3 => Outcome::Timeout,
+        4 => Outcome::NoConnection,
+        5 => Outcome::Reset,
+        6 => Outcome::Cancelled,
+        7 => Outcome::Moot,
+        other => return Err(format!("unknown outcome {other}")),
+    })
+}
