--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,8 +57,12 @@
     memory: f64,
     told: u8,
     theirs: Vec<f64>,
-    /// Free slots by report plus the slots known taken then; memory alike.
-    seen_slots: Ring<f64, 8>,
+    /// Free slots by report plus the slots known taken then, and their median; memory alike.
+    seen_slots: Ring<f64, 16>,
+    slots: Option<f64>,
+    /// Slots known taken at the last looks.
+    taken: Ring<f64, 10>,
+    last_report: [f32; 4],
     seen_memory: Ring<f64, 8>,
     reported: f64,
     cap: f64,
@@ -83,6 +87,7 @@
     runners: Vec<Runner>,
     open: Vec<usize>,
     runs: Vec<Ring<f64, 32>>,
+    usual: Vec<f64>,
     ratios: Ring<f64, 64>,
     arrivals: Vec<VecDeque<f64>>,
     peer_heard: Vec<f64>,
@@ -166,9 +171,7 @@
         if !d.may_resend(self.0, now) {
             return d.give_up(host, self.0);
         }
-        let taken = d.works[self.0 as usize].taken;
-        let place = d.held.partition_point(|&w| d.works[w as usize].taken <= taken);
-        d.held.insert(place, self.0);
+        d.hold(self.0);
     }
 }
 
@@ -179,6 +182,7 @@
         let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
         Dispatcher {
             runs: vec![Ring::default(); terms.categories.len()],
+            usual: terms.categories.iter().map(|c| c.due_s).collect(),
             arrivals: vec![VecDeque::new(); terms.quotas.len()],
             peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
             terms,
@@ -219,10 +223,18 @@
         } else {
             self.works[id as usize] = work;
         }
-        self.held.push(id);
+        self.hold(id);
         Some(Wi(id))
     }
 
+    fn hold(&mut self, w: u32) {
+        let Work { taken, job, .. } = self.works[w as usize];
+        let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
+        self.held.insert(place, w);
+        // Guards against work that arrives, or comes back, with its expiry already upon it.
+        self.next_look = self.next_look.min(job.expiry - 2.0 * LOOK_S);
+    }
+
     /// What the list says. `None` for a runner means it is gone.
     pub fn listed(&mut self, now: f64, news: News, entries: &[(usize, Option<Listed>)]) {
         if news != News::Changes {
@@ -306,10 +318,14 @@
         for i in (1..open.len()).rev() {
             open.swap(i, self.pcg.below(i + 1));
         }
+        if open.is_empty() {
+            self.open = open;
+            return;
+        }
         for &w in &self.held {
             let key = self.works[w as usize].job.key;
             let others = open.iter().filter(|&&r| !self.runners[r].holds(key, now)).count();
-            self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len().max(1) as f64).exp();
+            self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
         let crowded = self.crowded(now);
         for &r in &open {
@@ -371,7 +387,7 @@
         let run = self.expected(&work.job);
         let late = if now + run > self.due(w) { category.tardy } else { 1.0 };
         let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
-        let size = if self.terms.payoff_by_work { 1.0 } else { self.usual(work.job.category).max(1e-3) };
+        let size = if self.terms.payoff_by_work { 1.0 } else { self.usual[work.job.category].max(1e-3) };
         category.payoff * late * share / size
     }
 
@@ -417,7 +433,7 @@
 
     fn room(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
-        match runner.seen_slots.mean() {
+        match runner.slots {
             Some(slots) if self.terms.reports_in_answers => (slots - self.known(r, now)).round(),
             _ => runner.cap.floor() - runner.mine,
         }
@@ -478,7 +494,7 @@
         let mut seen: Vec<f64> = Vec::new();
         for runner in self.runners.iter().filter(|r| r.at.kind == kind && now > r.at.born + self.terms.cold_s)
         {
-            let slots = runner.seen_slots.mean().unwrap_or(runner.cap);
+            let slots = runner.slots.unwrap_or(runner.cap);
             seen.push(0.75 * slots / runner.paces.median().unwrap_or(1.0).max(0.1));
         }
         seen.sort_unstable_by(f64::total_cmp);
@@ -487,20 +503,31 @@
 
     fn report(&mut self, r: usize, now: f64, report: Report) {
         let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
-        let known = self.known(r, now);
         let (free, queue) = (figure(self.terms.free_slots_at), figure(self.terms.queue_at));
-        let memory = figure(self.terms.free_memory_at);
+        let (inside, memory) = (figure(self.terms.inside_at), figure(self.terms.free_memory_at));
+        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.known(r, now));
         let runner = &mut self.runners[r];
-        if let Some(free) = free {
-            // None free tells only that the slots are at most those known taken.
-            let slots = free + known - queue.unwrap_or(0.0);
-            let before = runner.seen_slots.mean().unwrap_or(f64::INFINITY);
-            runner.seen_slots.push(if free < 0.5 { slots.min(before) } else { slots });
-            runner.reported = now;
-        }
         if let Some(memory) = memory {
             runner.seen_memory.push(memory + runner.memory);
         }
+        let Some(free) = free else { return };
+        runner.reported = now;
+        let mut this = [0.0; 4];
+        this[..report.len()].copy_from_slice(report);
+        if std::mem::replace(&mut runner.last_report, this) == this {
+            return;
+        }
+        // Guards against late reports: what was free then is set against what was taken about then (the mean of
+        // the last second), not now, or every rise in work out would read as more slots and feed itself. A report
+        // that tells the work inside needs no such pairing. None free and no queue told says nothing of slots.
+        let slots = match (inside, queue) {
+            (Some(inside), _) if free >= 0.5 => free + inside,
+            (None, Some(queue)) => free - queue + taken,
+            (None, None) if free >= 0.5 => free + taken,
+            _ => return,
+        };
+        runner.seen_slots.push(slots.max(1.0));
+        runner.slots = runner.seen_slots.median();
     }
 
     // ---- what an outcome teaches ----
@@ -523,6 +550,7 @@
                     runner.cap += job.slots;
                 }
                 self.runs[job.category].push(run);
+                self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
                 self.ratios.push(run / like);
                 let bad = informed && run / like > slow;
                 self.weigh(ho.runner, now, if bad { 2.6 } else { -0.5 });
@@ -573,17 +601,13 @@
         2.0 * sorted[sorted.len() * 4 / 5]
     }
 
-    fn usual(&self, category: usize) -> f64 {
-        self.runs[category].mean().unwrap_or(self.terms.categories[category].due_s)
-    }
-
     fn expected(&self, job: &Job) -> f64 {
-        job.hint.unwrap_or_else(|| self.usual(job.category))
+        job.hint.unwrap_or_else(|| self.usual[job.category])
     }
 
     /// What a run is compared with: fetching its key costs a small job a part of a usual one.
     fn like(&self, job: &Job) -> f64 {
-        let usual = self.usual(job.category);
+        let usual = self.usual[job.category];
         job.hint.map_or(usual, |hint| hint + 0.25 * usual).max(1e-3)
     }
 
@@ -683,6 +707,10 @@
                 self.give_up(host, w);
             }
         }
+        for r in 0..self.runners.len() {
+            let known = self.known(r, now);
+            self.runners[r].taken.push(known);
+        }
         for w in 0..self.works.len() as u32 {
             if self.works[w as usize].live && self.works[w as usize].out.is_some() {
                 self.doubt(host, w, now);
@@ -769,6 +797,9 @@
             told: 0,
             theirs: vec![0.0; peers],
             seen_slots: Ring::default(),
+            slots: None,
+            taken: Ring::default(),
+            last_report: [0.0; 4],
             seen_memory: Ring::default(),
             reported: f64::NEG_INFINITY,
             cap: CAP_START,
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -37,6 +37,7 @@
     /// Where in a load report each figure stands.
     pub free_slots_at: Option<usize>,
     pub queue_at: Option<usize>,
+    pub inside_at: Option<usize>,
     pub free_memory_at: Option<usize>,
     pub tells_start: bool,
     pub progress_s: f64,
--- a/crates/simhost/src/decode.rs
+++ b/crates/simhost/src/decode.rs
@@ -101,6 +101,7 @@
         reports_in_answers: info.text("Report.How") == "inline",
         free_slots_at: meaning("free_slots"),
         queue_at: field("queue"),
+        inside_at: field("inflight"),
         free_memory_at: memory,
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
