--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -65,6 +65,8 @@
     last_report: [f32; 4],
     seen_memory: Ring<f64, 8>,
     reported: f64,
+    /// What a warm runner of its kind does; kept up only while some are cold.
+    capacity: f64,
     cap: f64,
     ceiling: (f64, f64),
     keys: Ring<(u64, f64), 8>,
@@ -447,9 +449,10 @@
         {
             return false;
         }
-        // One job of any size fits where none of ours is, unless a report under 1 s old leaves no room: with
-        // many dispatchers a full runner is mostly full of others' work.
-        self.room(r, now) >= 1.0 || runner.mine <= 0.0 && now > runner.reported + 1.0
+        // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers, say
+        // it is full: with many dispatchers a full runner is mostly full of others' work.
+        let told = self.terms.peers && runner.slots.is_some() || now < runner.reported + 1.0;
+        self.room(r, now) >= 1.0 || runner.mine <= 0.0 && !told
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
@@ -473,16 +476,15 @@
     /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of it,
     /// stays under this dispatcher's part of what the rule allows in any span.
     fn cold_allows(&self, r: usize, now: f64, size: f64) -> bool {
-        let runner = &self.runners[r];
+        let (runner, t) = (&self.runners[r], &self.terms);
         let age = now - runner.at.born;
-        let t = &self.terms;
         if age >= t.cold_s {
             return true;
         }
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
-        let present = self.capacity(runner.at.kind, now) * (t.cold_from + (1.0 - t.cold_from) * warm);
+        let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
         // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
-        let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas.max(1) as f64;
+        let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas as f64;
         let spent =
             runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s).map(|(_, s)| s).sum::<f64>();
         spent + size <= mine
@@ -490,15 +492,13 @@
 
     /// What a warm runner of a kind does in a second, in the unit of `expected`: its slots over its pace, the
     /// median of its like. 0.75 since slots may outnumber cores.
-    fn capacity(&self, kind: u8, now: f64) -> f64 {
-        let mut seen: Vec<f64> = Vec::new();
-        for runner in self.runners.iter().filter(|r| r.at.kind == kind && now > r.at.born + self.terms.cold_s)
-        {
-            let slots = runner.slots.unwrap_or(runner.cap);
-            seen.push(0.75 * slots / runner.paces.median().unwrap_or(1.0).max(0.1));
-        }
+    fn size_up(&mut self, kind: u8, now: f64) {
+        let warm = |r: &&Runner| r.at.kind == kind && now > r.at.born + self.terms.cold_s;
+        let able = |r: &Runner| 0.75 * r.slots.unwrap_or(r.cap) / r.paces.median().unwrap_or(1.0).max(0.1);
+        let mut seen: Vec<f64> = self.runners.iter().filter(warm).map(able).collect();
         seen.sort_unstable_by(f64::total_cmp);
-        seen.get(seen.len() / 2).copied().unwrap_or(CAP_START)
+        let capacity = seen.get(seen.len() / 2).copied().unwrap_or(CAP_START);
+        self.runners.iter_mut().filter(|r| r.at.kind == kind).for_each(|r| r.capacity = capacity);
     }
 
     fn report(&mut self, r: usize, now: f64, report: Report) {
@@ -708,6 +708,9 @@
             }
         }
         for r in 0..self.runners.len() {
+            if self.runners[r].at.ready && now < self.runners[r].at.born + self.terms.cold_s {
+                self.size_up(self.runners[r].at.kind, now);
+            }
             let known = self.known(r, now);
             self.runners[r].taken.push(known);
         }
@@ -802,6 +805,7 @@
             last_report: [0.0; 4],
             seen_memory: Ring::default(),
             reported: f64::NEG_INFINITY,
+            capacity: CAP_START,
             cap: CAP_START,
             ceiling: (f64::INFINITY, f64::NEG_INFINITY),
             keys: Ring::default(),
