--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -558,6 +558,9 @@
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
                 runner.full_until = now + 0.2;
+                // Guards against a runner that hangs with a full queue, or works on for others unseen: 'full'
+                // where room was believed is a mild bad sign, and ends a trial.
+                self.weigh(ho.runner, now, 1.0);
             }
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
