--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -88,6 +88,8 @@
     held: Vec<u32>,
     runners: Vec<Runner>,
     open: Vec<usize>,
+    /// Keys of work finished since the peers were last told.
+    served: Vec<(usize, u64)>,
     runs: Vec<Ring<f64, 32>>,
     usual: Vec<f64>,
     ratios: Ring<f64, 64>,
@@ -194,6 +196,7 @@
             held: Vec::new(),
             runners: Vec::new(),
             open: Vec::new(),
+            served: Vec::new(),
             ratios: Ring::default(),
             next_tell: now,
             next_look: now,
@@ -281,6 +284,14 @@
         }
     }
 
+    /// A peer's work with this key was finished there. Guards against a key table too thin to act on where a
+    /// dispatcher sees only a small part of the traffic.
+    pub fn peer_served(&mut self, now: f64, runner: usize, key: u64) {
+        if let Some(runner) = self.runners.get_mut(runner) {
+            runner.learn_key(key, now);
+        }
+    }
+
     /// Looks at what has become due, then visits the runners. Call once after each batch of news.
     pub fn decide(&mut self, host: &mut impl Host) {
         let now = host.now();
@@ -543,6 +554,9 @@
             Outcome::Finished => {
                 runner.heard = now;
                 runner.learn_key(job.key, now);
+                if job.key != 0 && self.terms.peers {
+                    self.served.push((ho.runner, job.key));
+                }
                 runner.paces.push(run / like);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < 0.1);
                 let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
@@ -785,8 +799,9 @@
         if whole {
             self.next_tell = now + 2.0;
         }
-        if !news.is_empty() {
-            host.tell_peers(&news);
+        if !news.is_empty() || !self.served.is_empty() {
+            host.tell_peers(&news, &self.served);
+            self.served.clear();
         }
     }
 }
@@ -839,7 +854,8 @@
         }
         match self.keys.samples_mut().iter_mut().find(|(k, _)| *k == key) {
             Some(entry) => entry.1 = now,
-            None => self.keys.push((key, now)),
+            // The longest unused goes first, as at the runner.
+            None => self.keys.replace((key, now), |a, b| a.1 < b.1),
         }
     }
 }
--- a/crates/policy/src/ring.rs
+++ b/crates/policy/src/ring.rs
@@ -19,6 +19,15 @@
         self.len = N.min(self.len + 1);
     }
 
+    /// Puts a sample in the place of the first in the given order, once all places are taken.
+    pub fn replace(&mut self, sample: T, before: impl Fn(&T, &T) -> bool) {
+        if self.len < N {
+            return self.push(sample);
+        }
+        let first = (1..N).fold(0, |a, b| if before(&self.kept[b], &self.kept[a]) { b } else { a });
+        self.kept[first] = sample;
+    }
+
     pub fn samples(&self) -> &[T] {
         &self.kept[..self.len]
     }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -44,6 +44,22 @@
     now: f64,
 }
 
+/// What a part of a message to peers tells: a runner's slots held (u8), or a key served there (u64).
+const HOLDS: u8 = 1;
+const SERVED: u8 = 2;
+/// A message holds 256 bytes, a part of it at most 15.
+const MESSAGE: usize = 256 - 15;
+
+impl Wire<'_> {
+    fn notify(&mut self, text: &mut Vec<u8>, last: bool) {
+        if text.len() > MESSAGE || last && !text.is_empty() {
+            let place = self.reply.text(text);
+            self.reply.act(80, self.instance, &[&u32::MAX.to_le_bytes(), &place]);
+            text.clear();
+        }
+    }
+}
+
 fn micros(seconds: f64) -> u64 {
     (seconds * 1e6).round().max(0.0) as u64
 }
@@ -78,17 +94,21 @@
     fn watch(&mut self) {
         self.reply.act(110, self.instance, &[&[1]]);
     }
-    fn tell_peers(&mut self, held: &[(usize, u8)]) {
-        // A message holds 256 bytes; each runner told of takes 7.
-        for part in held.chunks(36) {
-            let mut text = Vec::with_capacity(7 * part.len());
-            for &(runner, slots) in part {
-                text.extend_from_slice(&self.ids.addresses[runner]);
-                text.push(slots);
-            }
-            let place = self.reply.text(&text);
-            self.reply.act(80, self.instance, &[&u32::MAX.to_le_bytes(), &place]);
+    fn tell_peers(&mut self, held: &[(usize, u8)], served: &[(usize, u64)]) {
+        let mut text = Vec::new();
+        for &(runner, slots) in held {
+            text.push(HOLDS);
+            text.extend_from_slice(&self.ids.addresses[runner]);
+            text.push(slots);
+            self.notify(&mut text, false);
         }
+        for &(runner, key) in served {
+            text.push(SERVED);
+            text.extend_from_slice(&self.ids.addresses[runner]);
+            text.extend_from_slice(&key.to_le_bytes());
+            self.notify(&mut text, false);
+        }
+        self.notify(&mut text, true);
     }
     fn log(&mut self, line: &str) {
         let place = self.reply.text(line.as_bytes());
@@ -219,9 +239,20 @@
             }
             90 => {
                 let contents = batch.tail(record, 5, 1)?;
-                for told in contents.chunks_exact(7) {
-                    if let Some(&runner) = ids.runners.get(&Fields(told).address(0)) {
-                        dispatcher.peer_holds(now, record.u16(3) as usize, runner, told[6] as f64);
+                let peer = record.u16(3) as usize;
+                let mut rest = contents;
+                while let [HOLDS | SERVED, ..] = rest {
+                    let size = if rest[0] == HOLDS { 8 } else { 15 };
+                    if rest.len() < size {
+                        break;
+                    }
+                    let (part, after) = rest.split_at(size);
+                    rest = after;
+                    // A runner not yet on this instance's own list is no use to it.
+                    let Some(&runner) = ids.runners.get(&Fields(part).address(1)) else { continue };
+                    match part[0] {
+                        HOLDS => dispatcher.peer_holds(now, peer, runner, part[7] as f64),
+                        _ => dispatcher.peer_served(now, runner, Fields(part).u64(7)),
                     }
                 }
             }
