--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -447,7 +447,7 @@
     fn room(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
         match runner.slots {
-            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r, now)).round(),
+            Some(slots) if self.terms.reports_in_answers => (0.85 * slots - self.known(r, now)).floor(),
             _ => runner.cap.floor() - runner.mine,
         }
     }
