--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -93,6 +93,8 @@
     runs: Vec<Ring<f64, 32>>,
     usual: Vec<f64>,
     ratios: Ring<f64, 64>,
+    /// How long the fleet takes beside what is expected; the median of the last, never under 1.
+    pace: f64,
     arrivals: Vec<VecDeque<f64>>,
     peer_heard: Vec<f64>,
     next_tell: f64,
@@ -198,6 +200,7 @@
             open: Vec::new(),
             served: Vec::new(),
             ratios: Ring::default(),
+            pace: 1.0,
             next_tell: now,
             next_look: now,
             next_ask,
@@ -397,7 +400,7 @@
     fn value(&self, w: u32, now: f64) -> f64 {
         let work = &self.works[w as usize];
         let category = &self.terms.categories[work.job.category];
-        let run = self.expected(&work.job);
+        let run = self.pace * self.like(&work.job);
         let late = if now + run > self.due(w) { category.tardy } else { 1.0 };
         let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
         let size = if self.terms.payoff_by_work { 1.0 } else { self.usual[work.job.category].max(1e-3) };
@@ -447,7 +450,7 @@
     fn room(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
         match runner.slots {
-            Some(slots) if self.terms.reports_in_answers => (0.85 * slots - self.known(r, now)).floor(),
+            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r, now)).round(),
             _ => runner.cap.floor() - runner.mine,
         }
     }
@@ -717,6 +720,7 @@
 
     fn look(&mut self, host: &mut impl Host) {
         let now = host.now();
+        self.pace = self.ratios.median().unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
             if now > self.patience(w) || !self.may_resend(w, now) || !self.has_kind(w) {
@@ -741,7 +745,7 @@
     /// Until when a held work item is worth holding.
     fn patience(&self, w: u32) -> f64 {
         let work = &self.works[w as usize];
-        let (due, run) = (self.due(w), self.expected(&work.job));
+        let (due, run) = (self.due(w), self.pace * self.like(&work.job));
         let tardy = self.terms.categories[work.job.category].tardy;
         let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 0.5 * run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
