--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,6 +18,9 @@
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 
+/// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
+const PROMPT_S: f64 = 0.1;
+
 /// A work item's handle.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Wi(pub u32);
@@ -55,6 +58,8 @@
     at: Listed,
     mine: f64,
     memory: f64,
+    unstarted: u32,
+    last_sent: f64,
     told: u8,
     theirs: Vec<f64>,
     /// Free slots by report plus the slots known taken then, and their median; memory alike.
@@ -108,16 +113,20 @@
     /// The hand-off's job has started.
     pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        ho.started = Some(now);
+        let first = ho.started.replace(now).is_none();
         ho.moved = now;
         let (waited, r) = (now - ho.sent, ho.runner);
         d.runners[r].heard = now;
+        d.runners[r].unstarted -= first as u32;
         // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
-        // start is the first sign, and counts as a soft 'full'. 0.1 s is several times a connection's cost.
-        if !d.terms.reports_in_answers && waited > 0.1 {
+        // start is the first sign, and counts as a soft 'full'.
+        if !d.terms.reports_in_answers && waited > PROMPT_S {
             let running = d.works.iter().filter_map(|w| w.out.as_ref());
             let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
             let runner = &mut d.runners[r];
+            // A cap of one each still overfills a runner that many dispatchers share: what waited there says how
+            // long the queue of others is, and for that long it gets nothing more of ours.
+            runner.full_until = runner.full_until.max(now + waited.min(2.0));
             if running < runner.cap {
                 runner.cap = running.max(1.0);
                 runner.ceiling = (runner.cap, now);
@@ -158,6 +167,7 @@
         let job = work.job;
         d.runners[ho.runner].mine -= job.slots;
         d.runners[ho.runner].memory -= job.memory;
+        d.runners[ho.runner].unstarted -= ho.started.is_none() as u32;
         d.report(ho.runner, now, report);
         d.learn(&job, &ho, now, outcome);
         let work = &mut d.works[self.0 as usize];
@@ -415,6 +425,8 @@
         let work = &mut self.works[w as usize];
         runner.mine += work.job.slots;
         runner.memory += work.job.memory;
+        runner.unstarted += 1;
+        runner.last_sent = now;
         if now < runner.at.born + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
@@ -463,6 +475,12 @@
         {
             return false;
         }
+        if self.terms.tells_start && !self.terms.reports_in_answers {
+            // Something of ours waits there: whatever the cap says, it is full just now.
+            if runner.unstarted > 0 && now > runner.last_sent + PROMPT_S {
+                return false;
+            }
+        }
         // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers, say
         // it is full: with many dispatchers a full runner is mostly full of others' work.
         let told = self.terms.peers && runner.slots.is_some() || now < runner.reported + 1.0;
@@ -561,7 +579,7 @@
                     self.served.push((ho.runner, job.key));
                 }
                 runner.paces.push(run / like);
-                let prompt = ho.started.is_none_or(|s| s - ho.sent < 0.1);
+                let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
                 let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
@@ -819,6 +837,8 @@
             at: Listed { kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
             mine: 0.0,
             memory: 0.0,
+            unstarted: 0,
+            last_sent: f64::NEG_INFINITY,
             told: 0,
             theirs: vec![0.0; peers],
             seen_slots: Ring::default(),
@@ -845,6 +865,7 @@
     fn restart(&mut self) {
         let old = std::mem::replace(self, Runner::new(self.theirs.len()));
         (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
+        (self.unstarted, self.last_sent) = (old.unstarted, old.last_sent);
         self.cold_sent = old.cold_sent;
     }
 
