--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -9,8 +9,8 @@
 use std::collections::VecDeque;
 use std::mem::take;
 
-/// P-min: above 1 - 1/e - 0.05 a runner without the key is passed over while one runner in twelve has it.
-const P_MIN: f64 = 0.6;
+/// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
+const P_MIN: f64 = 0.63;
 /// A key table entry lasts this long (DESIGN).
 const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
@@ -50,6 +50,8 @@
     ran: Option<(f64, usize)>,
     /// The runner that last failed it, passed over until then.
     avoid: (usize, f64),
+    /// The runner its key belongs to by hash, as long as no entry says more.
+    home: usize,
     /// P at a runner that does not hold its key, for the present pass.
     odds: f64,
 }
@@ -233,6 +235,7 @@
             out: None,
             ran: None,
             avoid: (usize::MAX, now),
+            home: usize::MAX,
             odds: 0.0,
         };
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
@@ -245,7 +248,24 @@
         Some(Wi(id))
     }
 
+    /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all agree,
+    /// without a word, on the ready runner where a key belongs (highest hash of both).
+    fn find_home(&mut self, w: u32) {
+        let Work { job, .. } = self.works[w as usize];
+        let kind = self.terms.categories[job.category].kind;
+        let able =
+            |r: &usize| self.runners[*r].at.ready && kind.is_none_or(|k| k == self.runners[*r].at.kind);
+        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
+        self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
+    }
+
+    fn holds(&self, w: u32, r: usize, now: f64) -> bool {
+        let work = &self.works[w as usize];
+        work.home == r || self.runners[r].holds(work.job.key, now)
+    }
+
     fn hold(&mut self, w: u32) {
+        self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
@@ -279,6 +299,9 @@
             self.ask_again_s = 0.3;
         }
         self.next_look = now;
+        for place in 0..self.held.len() {
+            self.find_home(self.held[place]);
+        }
     }
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
@@ -349,8 +372,7 @@
             return;
         }
         for &w in &self.held {
-            let key = self.works[w as usize].job.key;
-            let others = open.iter().filter(|&&r| !self.runners[r].holds(key, now)).count();
+            let others = open.iter().filter(|&&r| !self.holds(w, r, now)).count();
             self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
         let crowded = self.crowded(now);
@@ -370,7 +392,7 @@
             let w = self.held[place];
             let key = self.works[w as usize].job.key;
             let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
-            match fitting.min_by_key(|&r| !self.runners[r].holds(key, now)) {
+            match fitting.max_by_key(|&r| (self.holds(w, r, now), self.runners[r].draw(key))) {
                 Some(r) => {
                     self.send(host, place, r);
                     open.retain(|&r| self.has_room(r, now));
@@ -389,7 +411,7 @@
                 continue;
             }
             let work = &self.works[w as usize];
-            let p = if self.runners[r].holds(work.job.key, now) { 1.0 } else { work.odds };
+            let p = if self.holds(w, r, now) { 1.0 } else { work.odds };
             let value = if crowded { self.value(w, now) } else { 0.0 };
             if best.is_none_or(|(_, v, q)| value > v || value == v && p > q) {
                 best = Some((place, value, p));
@@ -834,7 +856,7 @@
 impl Runner {
     fn new(peers: usize) -> Self {
         Runner {
-            at: Listed { kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
+            at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
             mine: 0.0,
             memory: 0.0,
             unstarted: 0,
@@ -869,6 +891,13 @@
         self.cold_sent = old.cold_sent;
     }
 
+    /// Where a key belongs by hash: the same draw at every dispatcher.
+    fn draw(&self, key: u64) -> u64 {
+        let mixed =
+            (key ^ self.at.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        (mixed ^ (mixed >> 31)).wrapping_mul(0x94D0_49BB_1331_11EB)
+    }
+
     fn holds(&self, key: u64, now: f64) -> bool {
         key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
     }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -73,6 +73,8 @@
 /// A runner as the list names it.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
+    /// The same at every dispatcher.
+    pub id: u64,
     pub kind: u8,
     pub born: f64,
     pub cell: u16,
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -272,14 +272,17 @@
         0 => f64::NEG_INFINITY,
         born => born as f64 / 1e6,
     };
+    let address = entry.address(9);
+    let id = address.iter().fold(0, |id, byte| id << 8 | *byte as u64);
     let listed = Listed {
+        id,
         kind: entry.u8(0),
         born,
         cell: entry.u16(15),
         zone: entry.u16(17),
         ready: entry.u8(19) == 1,
     };
-    (entry.address(9), (entry.u8(19) != 0).then_some(listed))
+    (address, (entry.u8(19) != 0).then_some(listed))
 }
 
 fn outcome(code: u16) -> Result<Outcome, String> {
