--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -255,6 +255,9 @@
         let kind = self.terms.categories[job.category].kind;
         let able =
             |r: &usize| self.runners[*r].at.ready && kind.is_none_or(|k| k == self.runners[*r].at.kind);
+        if self.terms.peers {
+            return;
+        }
         let home = (0..self.runners.len()).filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
