--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -248,18 +248,17 @@
         Some(Wi(id))
     }
 
-    /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all agree,
-    /// without a word, on the ready runner where a key belongs (highest hash of both).
-    fn find_home(&mut self, w: u32) {
-        let Work { job, .. } = self.works[w as usize];
+    /// Guards against every dispatcher fetching a key to a runner of its own: where they cannot tell each other
+    /// what was served, all agree, without a word, on the runner with room where a key belongs (highest hash).
+    fn home(&self, w: u32, open: &[usize]) -> usize {
+        let job = &self.works[w as usize].job;
         let kind = self.terms.categories[job.category].kind;
-        let able =
-            |r: &usize| self.runners[*r].at.ready && kind.is_none_or(|k| k == self.runners[*r].at.kind);
-        if self.terms.peers {
-            return;
+        if job.key == 0 {
+            return usize::MAX;
         }
-        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
-        self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
+        let able = |r: &usize| kind.is_none_or(|k| k == self.runners[*r].at.kind);
+        let home = open.iter().copied().filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
+        home.unwrap_or(usize::MAX)
     }
 
     fn holds(&self, w: u32, r: usize, now: f64) -> bool {
@@ -268,7 +267,6 @@
     }
 
     fn hold(&mut self, w: u32) {
-        self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
@@ -302,9 +300,6 @@
             self.ask_again_s = 0.3;
         }
         self.next_look = now;
-        for place in 0..self.held.len() {
-            self.find_home(self.held[place]);
-        }
     }
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
@@ -375,6 +370,7 @@
             return;
         }
         for &w in &self.held {
+            self.works[w as usize].home = self.home(w, &open);
             let others = open.iter().filter(|&&r| !self.holds(w, r, now)).count();
             self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
