--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -54,6 +54,8 @@
     home: usize,
     /// P at a runner that does not hold its key, for the present pass.
     odds: f64,
+    /// It waits for a busy holder rather than go elsewhere.
+    waits: bool,
 }
 
 struct Runner {
@@ -237,6 +239,7 @@
             avoid: (usize::MAX, now),
             home: usize::MAX,
             odds: 0.0,
+            waits: false,
         };
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
         if id as usize == self.works.len() {
@@ -248,17 +251,18 @@
         Some(Wi(id))
     }
 
-    /// Guards against every dispatcher fetching a key to a runner of its own: where they cannot tell each other
-    /// what was served, all agree, without a word, on the runner with room where a key belongs (highest hash).
-    fn home(&self, w: u32, open: &[usize]) -> usize {
-        let job = &self.works[w as usize].job;
+    /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all agree,
+    /// without a word, on the ready runner where a key belongs (highest hash of both).
+    fn find_home(&mut self, w: u32) {
+        let Work { job, .. } = self.works[w as usize];
         let kind = self.terms.categories[job.category].kind;
-        if job.key == 0 {
-            return usize::MAX;
+        let able =
+            |r: &usize| self.runners[*r].at.ready && kind.is_none_or(|k| k == self.runners[*r].at.kind);
+        if self.terms.peers {
+            return;
         }
-        let able = |r: &usize| kind.is_none_or(|k| k == self.runners[*r].at.kind);
-        let home = open.iter().copied().filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
-        home.unwrap_or(usize::MAX)
+        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
+        self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
 
     fn holds(&self, w: u32, r: usize, now: f64) -> bool {
@@ -267,6 +271,7 @@
     }
 
     fn hold(&mut self, w: u32) {
+        self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
@@ -300,6 +305,9 @@
             self.ask_again_s = 0.3;
         }
         self.next_look = now;
+        for place in 0..self.held.len() {
+            self.find_home(self.held[place]);
+        }
     }
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
@@ -370,8 +378,11 @@
             return;
         }
         for &w in &self.held {
-            self.works[w as usize].home = self.home(w, &open);
             let others = open.iter().filter(|&&r| !self.holds(w, r, now)).count();
+            let early = now < self.works[w as usize].taken + self.holder_wait(w);
+            let busy = |r: usize| self.runners[r].at.ready && self.runners[r].resting.is_none();
+            let waits = early && others == open.len() && self.elsewhere(w, now, busy);
+            self.works[w as usize].waits = waits;
             self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
         let crowded = self.crowded(now);
@@ -402,6 +413,16 @@
         self.open = open;
     }
 
+    /// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
+    /// work item whose holders are well but busy waits for them this long before any runner will do.
+    fn holder_wait(&self, w: u32) -> f64 {
+        0.3 * self.terms.categories[self.works[w as usize].job.category].due_s
+    }
+
+    fn elsewhere(&self, w: u32, now: f64, well: impl Fn(usize) -> bool) -> bool {
+        (0..self.runners.len()).any(|r| well(r) && self.holds(w, r, now))
+    }
+
     /// The held work item with the largest P at a runner; ties to the longest held.
     fn largest(&self, r: usize, now: f64, crowded: bool) -> Option<(usize, f64)> {
         let mut best: Option<(usize, f64, f64)> = None;
@@ -520,6 +541,9 @@
         {
             return false;
         }
+        if work.waits && !self.holds(w, r, now) {
+            return false;
+        }
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
         (idle || work.job.slots <= self.room(r, now) && work.job.memory <= memory)
