--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -416,7 +416,7 @@
     /// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
     /// work item whose holders are well but busy waits for them this long before any runner will do.
     fn holder_wait(&self, w: u32) -> f64 {
-        0.3 * self.terms.categories[self.works[w as usize].job.category].due_s
+        0.6 * self.terms.categories[self.works[w as usize].job.category].due_s
     }
 
     fn elsewhere(&self, w: u32, now: f64, well: impl Fn(usize) -> bool) -> bool {
