--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 mod pcg;
 mod policy;
 mod ring;
+mod state;
 mod terms;
 
 pub use policy::{Dispatcher, Wi};
--- a/crates/policy/src/pcg.rs
+++ b/crates/policy/src/pcg.rs
@@ -23,3 +23,9 @@
         ((self.next() as u64 * n as u64) >> 32) as usize
     }
 }
+
+/// A number drawn for a pair, the same wherever it is drawn.
+pub fn draw(key: u64, id: u64) -> u64 {
+    let mixed = (key ^ id.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    (mixed ^ (mixed >> 31)).wrapping_mul(0x94D0_49BB_1331_11EB)
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -3,18 +3,19 @@
 //! `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes due, call `decide`:
 //! it visits the runners and acts through the `Host`. The interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`)
 //! is defined in `terms.rs`.
-use crate::pcg::Pcg;
+use crate::pcg::{draw, Pcg};
 use crate::ring::Ring;
+pub use crate::state::Dispatcher;
+use crate::state::{HandOff, Runner, Work};
 use crate::terms::*;
 use std::collections::VecDeque;
-use std::mem::take;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
 /// A key table entry lasts this long (DESIGN).
 const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
-const CAP_START: f64 = 2.0;
+pub const CAP_START: f64 = 2.0;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 
@@ -25,112 +26,20 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Wi(pub u32);
 
-struct HandOff {
-    runner: usize,
-    no: u16,
-    sent: f64,
-    started: Option<f64>,
-    /// When the last sign came that it moves, and how much of it was done by then.
-    moved: f64,
-    share: f64,
-    doubts: u32,
-    cancelled: bool,
-    at_cap: bool,
-}
-
-struct Work {
-    job: Job,
-    taken: f64,
-    live: bool,
-    ended: bool,
-    beyond: bool,
-    made: u16,
-    out: Option<HandOff>,
-    /// Since when, and on which runner, it may have run.
-    ran: Option<(f64, usize)>,
-    /// The runner that last failed it, passed over until then.
-    avoid: (usize, f64),
-    /// The runner its key belongs to by hash, as long as no entry says more.
-    home: usize,
-    /// P at a runner that does not hold its key, for the present pass.
-    odds: f64,
-    /// It waits for a busy holder rather than go elsewhere.
-    waits: bool,
-}
-
-struct Runner {
-    at: Listed,
-    mine: f64,
-    memory: f64,
-    unstarted: u32,
-    last_sent: f64,
-    told: u8,
-    theirs: Vec<f64>,
-    /// Free slots by report plus the slots known taken then, and their median; memory alike.
-    seen_slots: Ring<f64, 16>,
-    slots: Option<f64>,
-    /// Slots known taken at the last looks.
-    taken: Ring<f64, 10>,
-    last_report: [f32; 4],
-    seen_memory: Ring<f64, 8>,
-    reported: f64,
-    /// What a warm runner of its kind does; kept up only while some are cold.
-    capacity: f64,
-    cap: f64,
-    ceiling: (f64, f64),
-    keys: Ring<(u64, f64), 8>,
-    paces: Ring<f64, 8>,
-    cold_sent: VecDeque<(f64, f64)>,
-    full_until: f64,
-    heard: f64,
-    evidence: f64,
-    resting: Option<f64>,
-    rest_s: f64,
-    trial: bool,
-}
-
-pub struct Dispatcher {
-    terms: Terms,
-    pcg: Pcg,
-    works: Vec<Work>,
-    free: Vec<u32>,
-    held: Vec<u32>,
-    runners: Vec<Runner>,
-    open: Vec<usize>,
-    /// Keys of work finished since the peers were last told.
-    served: Vec<(usize, u64)>,
-    runs: Vec<Ring<f64, 32>>,
-    usual: Vec<f64>,
-    ratios: Ring<f64, 64>,
-    /// How long the fleet takes beside what is expected; the median of the last, never under 1.
-    pace: f64,
-    arrivals: Vec<VecDeque<f64>>,
-    peer_heard: Vec<f64>,
-    next_tell: f64,
-    next_look: f64,
-    next_ask: f64,
-    ask_again_s: f64,
-    wake_at: f64,
-}
-
 impl Wi {
     /// The hand-off's job has started.
     pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        let first = ho.started.replace(now).is_none();
+        ho.started = Some(now);
         ho.moved = now;
         let (waited, r) = (now - ho.sent, ho.runner);
         d.runners[r].heard = now;
-        d.runners[r].unstarted -= first as u32;
         // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
         // start is the first sign, and counts as a soft 'full'.
         if !d.terms.reports_in_answers && waited > PROMPT_S {
             let running = d.works.iter().filter_map(|w| w.out.as_ref());
             let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
             let runner = &mut d.runners[r];
-            // A cap of one each still overfills a runner that many dispatchers share: what waited there says how
-            // long the queue of others is, and for that long it gets nothing more of ours.
-            runner.full_until = runner.full_until.max(now + waited.min(2.0));
             if running < runner.cap {
                 runner.cap = running.max(1.0);
                 runner.ceiling = (runner.cap, now);
@@ -171,7 +80,6 @@
         let job = work.job;
         d.runners[ho.runner].mine -= job.slots;
         d.runners[ho.runner].memory -= job.memory;
-        d.runners[ho.runner].unstarted -= ho.started.is_none() as u32;
         d.report(ho.runner, now, report);
         d.learn(&job, &ho, now, outcome);
         let work = &mut d.works[self.0 as usize];
@@ -227,20 +135,7 @@
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
         let beyond = self.beyond_share(now, job.customer);
-        let work = Work {
-            job,
-            taken: now,
-            live: true,
-            ended: false,
-            beyond,
-            made: 0,
-            out: None,
-            ran: None,
-            avoid: (usize::MAX, now),
-            home: usize::MAX,
-            odds: 0.0,
-            waits: false,
-        };
+        let work = Work::new(job, now, beyond);
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
         if id as usize == self.works.len() {
             self.works.push(work);
@@ -261,7 +156,7 @@
         if self.terms.peers {
             return;
         }
-        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| self.runners[r].draw(job.key));
+        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| draw(job.key, self.runners[r].at.id));
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
 
@@ -367,7 +262,7 @@
             return;
         }
         let now = host.now();
-        let mut open = take(&mut self.open);
+        let mut open = std::mem::take(&mut self.open);
         open.clear();
         open.extend((0..self.runners.len()).filter(|&r| self.has_room(r, now)));
         for i in (1..open.len()).rev() {
@@ -380,8 +275,7 @@
         for &w in &self.held {
             let others = open.iter().filter(|&&r| !self.holds(w, r, now)).count();
             let early = now < self.works[w as usize].taken + self.holder_wait(w);
-            let busy = |r: usize| self.runners[r].at.ready && self.runners[r].resting.is_none();
-            let waits = early && others == open.len() && self.elsewhere(w, now, busy);
+            let waits = early && others == open.len() && self.busy_holder(w, now);
             self.works[w as usize].waits = waits;
             self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
@@ -402,7 +296,7 @@
             let w = self.held[place];
             let key = self.works[w as usize].job.key;
             let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
-            match fitting.max_by_key(|&r| (self.holds(w, r, now), self.runners[r].draw(key))) {
+            match fitting.max_by_key(|&r| (self.holds(w, r, now), draw(key, self.runners[r].at.id))) {
                 Some(r) => {
                     self.send(host, place, r);
                     open.retain(|&r| self.has_room(r, now));
@@ -419,8 +313,10 @@
         0.6 * self.terms.categories[self.works[w as usize].job.category].due_s
     }
 
-    fn elsewhere(&self, w: u32, now: f64, well: impl Fn(usize) -> bool) -> bool {
-        (0..self.runners.len()).any(|r| well(r) && self.holds(w, r, now))
+    fn busy_holder(&self, w: u32, now: f64) -> bool {
+        let kind = self.terms.categories[self.works[w as usize].job.category].kind;
+        let well = |r: &Runner| r.at.ready && r.resting.is_none() && kind.is_none_or(|k| k == r.at.kind);
+        (0..self.runners.len()).any(|r| well(&self.runners[r]) && self.holds(w, r, now))
     }
 
     /// The held work item with the largest P at a runner; ties to the longest held.
@@ -467,8 +363,6 @@
         let work = &mut self.works[w as usize];
         runner.mine += work.job.slots;
         runner.memory += work.job.memory;
-        runner.unstarted += 1;
-        runner.last_sent = now;
         if now < runner.at.born + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
@@ -476,17 +370,7 @@
         if runner.resting.is_some() {
             runner.trial = true;
         }
-        work.out = Some(HandOff {
-            runner: r,
-            no: work.made,
-            sent: now,
-            started: None,
-            moved: now,
-            share: 0.0,
-            doubts: 0,
-            cancelled: false,
-            at_cap: runner.mine >= runner.cap,
-        });
+        work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap));
         work.made += 1;
         host.hand_off(Wi(w), r, work.job.expiry);
     }
@@ -517,12 +401,6 @@
         {
             return false;
         }
-        if self.terms.tells_start && !self.terms.reports_in_answers {
-            // Something of ours waits there: whatever the cap says, it is full just now.
-            if runner.unstarted > 0 && now > runner.last_sent + PROMPT_S {
-                return false;
-            }
-        }
         // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers, say
         // it is full: with many dispatchers a full runner is mostly full of others' work.
         let told = self.terms.peers && runner.slots.is_some() || now < runner.reported + 1.0;
@@ -874,53 +752,9 @@
 }
 
 /// A rest's first length: a pause of a healthy runner is over by then, a real trouble rarely is.
-const REST_S: f64 = 1.5;
+pub const REST_S: f64 = 1.5;
 
 impl Runner {
-    fn new(peers: usize) -> Self {
-        Runner {
-            at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
-            mine: 0.0,
-            memory: 0.0,
-            unstarted: 0,
-            last_sent: f64::NEG_INFINITY,
-            told: 0,
-            theirs: vec![0.0; peers],
-            seen_slots: Ring::default(),
-            slots: None,
-            taken: Ring::default(),
-            last_report: [0.0; 4],
-            seen_memory: Ring::default(),
-            reported: f64::NEG_INFINITY,
-            capacity: CAP_START,
-            cap: CAP_START,
-            ceiling: (f64::INFINITY, f64::NEG_INFINITY),
-            keys: Ring::default(),
-            paces: Ring::default(),
-            cold_sent: VecDeque::new(),
-            full_until: f64::NEG_INFINITY,
-            heard: f64::NEG_INFINITY,
-            evidence: 0.0,
-            resting: None,
-            rest_s: REST_S,
-            trial: false,
-        }
-    }
-
-    fn restart(&mut self) {
-        let old = std::mem::replace(self, Runner::new(self.theirs.len()));
-        (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
-        (self.unstarted, self.last_sent) = (old.unstarted, old.last_sent);
-        self.cold_sent = old.cold_sent;
-    }
-
-    /// Where a key belongs by hash: the same draw at every dispatcher.
-    fn draw(&self, key: u64) -> u64 {
-        let mixed =
-            (key ^ self.at.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        (mixed ^ (mixed >> 31)).wrapping_mul(0x94D0_49BB_1331_11EB)
-    }
-
     fn holds(&self, key: u64, now: f64) -> bool {
         key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
     }
--- /dev/null
+++ b/crates/policy/src/state.rs
@@ -0,0 +1,163 @@
+//! What the decisions keep of each work item, hand-off and runner.
+use crate::pcg::Pcg;
+use crate::policy::{CAP_START, REST_S};
+use crate::ring::Ring;
+use crate::terms::{Job, Listed, Terms};
+use std::collections::VecDeque;
+
+pub struct HandOff {
+    pub runner: usize,
+    pub no: u16,
+    pub sent: f64,
+    pub started: Option<f64>,
+    /// When the last sign came that it moves, and how much of it was done by then.
+    pub moved: f64,
+    pub share: f64,
+    pub doubts: u32,
+    pub cancelled: bool,
+    pub at_cap: bool,
+}
+
+impl HandOff {
+    pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool) -> Self {
+        HandOff {
+            runner,
+            no,
+            sent,
+            started: None,
+            moved: sent,
+            share: 0.0,
+            doubts: 0,
+            cancelled: false,
+            at_cap,
+        }
+    }
+}
+
+pub struct Work {
+    pub job: Job,
+    pub taken: f64,
+    pub live: bool,
+    pub ended: bool,
+    pub beyond: bool,
+    pub made: u16,
+    pub out: Option<HandOff>,
+    /// Since when, and on which runner, it may have run.
+    pub ran: Option<(f64, usize)>,
+    /// The runner that last failed it, passed over until then.
+    pub avoid: (usize, f64),
+    /// The runner its key belongs to by hash, as long as no entry says more.
+    pub home: usize,
+    /// P at a runner that does not hold its key, for the present pass.
+    pub odds: f64,
+    /// It waits for a busy holder rather than go elsewhere.
+    pub waits: bool,
+}
+
+impl Work {
+    pub fn new(job: Job, taken: f64, beyond: bool) -> Self {
+        Work {
+            job,
+            taken,
+            live: true,
+            ended: false,
+            beyond,
+            made: 0,
+            out: None,
+            ran: None,
+            avoid: (usize::MAX, taken),
+            home: usize::MAX,
+            odds: 0.0,
+            waits: false,
+        }
+    }
+}
+
+pub struct Runner {
+    pub at: Listed,
+    pub mine: f64,
+    pub memory: f64,
+    pub told: u8,
+    pub theirs: Vec<f64>,
+    /// Free slots by report plus the slots known taken then, and their median; memory alike.
+    pub seen_slots: Ring<f64, 16>,
+    pub slots: Option<f64>,
+    /// Slots known taken at the last looks.
+    pub taken: Ring<f64, 10>,
+    pub last_report: [f32; 4],
+    pub seen_memory: Ring<f64, 8>,
+    pub reported: f64,
+    /// What a warm runner of its kind does; kept up only while some are cold.
+    pub capacity: f64,
+    pub cap: f64,
+    pub ceiling: (f64, f64),
+    pub keys: Ring<(u64, f64), 8>,
+    pub paces: Ring<f64, 8>,
+    pub cold_sent: VecDeque<(f64, f64)>,
+    pub full_until: f64,
+    pub heard: f64,
+    pub evidence: f64,
+    pub resting: Option<f64>,
+    pub rest_s: f64,
+    pub trial: bool,
+}
+
+impl Runner {
+    pub fn new(peers: usize) -> Self {
+        Runner {
+            at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
+            mine: 0.0,
+            memory: 0.0,
+            told: 0,
+            theirs: vec![0.0; peers],
+            seen_slots: Ring::default(),
+            slots: None,
+            taken: Ring::default(),
+            last_report: [0.0; 4],
+            seen_memory: Ring::default(),
+            reported: f64::NEG_INFINITY,
+            capacity: CAP_START,
+            cap: CAP_START,
+            ceiling: (f64::INFINITY, f64::NEG_INFINITY),
+            keys: Ring::default(),
+            paces: Ring::default(),
+            cold_sent: VecDeque::new(),
+            full_until: f64::NEG_INFINITY,
+            heard: f64::NEG_INFINITY,
+            evidence: 0.0,
+            resting: None,
+            rest_s: REST_S,
+            trial: false,
+        }
+    }
+
+    pub fn restart(&mut self) {
+        let old = std::mem::replace(self, Runner::new(self.theirs.len()));
+        (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
+        self.cold_sent = old.cold_sent;
+    }
+}
+
+pub struct Dispatcher {
+    pub(crate) terms: Terms,
+    pub(crate) pcg: Pcg,
+    pub(crate) works: Vec<Work>,
+    pub(crate) free: Vec<u32>,
+    pub(crate) held: Vec<u32>,
+    pub(crate) runners: Vec<Runner>,
+    pub(crate) open: Vec<usize>,
+    /// Keys of work finished since the peers were last told.
+    pub(crate) served: Vec<(usize, u64)>,
+    pub(crate) runs: Vec<Ring<f64, 32>>,
+    pub(crate) usual: Vec<f64>,
+    pub(crate) ratios: Ring<f64, 64>,
+    /// How long the fleet takes beside what is expected; the median of the last, never under 1.
+    pub(crate) pace: f64,
+    pub(crate) arrivals: Vec<VecDeque<f64>>,
+    pub(crate) peer_heard: Vec<f64>,
+    pub(crate) next_tell: f64,
+    pub(crate) next_look: f64,
+    pub(crate) next_ask: f64,
+    pub(crate) ask_again_s: f64,
+    pub(crate) wake_at: f64,
+}
--- /dev/null
+++ b/crates/policy/tests/fake/mod.rs
@@ -0,0 +1,126 @@
+//! One tiny host that writes down what it is asked to do, and short ways to say things to a dispatcher.
+use sagetrail_policy::*;
+
+#[derive(Debug, PartialEq, Clone)]
+pub enum Asked {
+    HandOff(Wi, usize),
+    Defer(Wi, f64),
+    WriteOff(Wi),
+    Cancel(Wi, u16),
+    Watch,
+}
+pub use Asked::*;
+
+#[derive(Default)]
+pub struct Fake {
+    pub now: f64,
+    pub asked: Vec<Asked>,
+    pub told: Vec<(usize, u8)>,
+    pub served: Vec<(usize, u64)>,
+    pub wake: f64,
+}
+
+impl Host for Fake {
+    fn now(&self) -> f64 {
+        self.now
+    }
+    fn hand_off(&mut self, wi: Wi, runner: usize, _: f64) {
+        self.asked.push(HandOff(wi, runner));
+    }
+    fn defer(&mut self, wi: Wi, come_back_s: f64) {
+        self.asked.push(Defer(wi, come_back_s));
+    }
+    fn write_off(&mut self, wi: Wi) {
+        self.asked.push(WriteOff(wi));
+    }
+    fn cancel(&mut self, wi: Wi, ho: u16) {
+        self.asked.push(Cancel(wi, ho));
+    }
+    fn forget(&mut self, _: Wi) {}
+    fn wake(&mut self, in_s: f64) {
+        self.wake = self.now + in_s;
+    }
+    fn watch(&mut self) {
+        self.asked.push(Watch);
+    }
+    fn tell_peers(&mut self, held: &[(usize, u8)], served: &[(usize, u64)]) {
+        self.told.extend_from_slice(held);
+        self.served.extend_from_slice(served);
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+pub const CATEGORIES: [Repeat; 4] =
+    [Repeat::Rerunnable, Repeat::Ticketed(Scope::Cell), Repeat::Exclusive, Repeat::Ticketed(Scope::All)];
+
+pub fn terms() -> Terms {
+    let category = |repeat| Category {
+        due_s: 1.0,
+        stretch: 2.0,
+        payoff: 1.0,
+        tardy: 0.2,
+        repeat,
+        window_s: 3.0,
+        kind: None,
+    };
+    Terms {
+        replicas: 1,
+        tells_start: true,
+        progress_s: 1.0,
+        may_cancel: true,
+        max_come_back_s: 2.0,
+        most_hand_offs: 3,
+        cold_from: 0.2,
+        cold_s: 20.0,
+        fall_multiple: 3.0,
+        fall_s: 1.0,
+        must_ask_s: 10.0,
+        categories: CATEGORIES.map(category).to_vec(),
+        ..Terms::default()
+    }
+}
+
+pub fn runner(id: u64) -> Listed {
+    Listed { id, kind: 0, born: f64::NEG_INFINITY, cell: id as u16, zone: 0, ready: true }
+}
+
+/// A dispatcher with so many ready runners, each a cell of its own, at 100 s.
+pub fn start(terms: Terms, runners: usize) -> (Dispatcher, Fake) {
+    let mut d = Dispatcher::new(terms, 7, 100.0);
+    let entries: Vec<_> = (0..runners).map(|r| (r, Some(runner(r as u64)))).collect();
+    d.listed(100.0, News::Cached, &entries);
+    (d, Fake { now: 100.0, ..Fake::default() })
+}
+
+pub fn job(category: usize, key: u64) -> Job {
+    Job { category, customer: 0, key, expiry: 110.0, hint: Some(0.5), slots: 1.0, memory: 0.0 }
+}
+
+impl Fake {
+    pub fn take(&mut self, d: &mut Dispatcher, category: usize, key: u64) -> Wi {
+        let expiry = self.now + 10.0;
+        let wi = d.take(self.now, Job { expiry, ..job(category, key) }).unwrap();
+        d.decide(self);
+        wi
+    }
+    pub fn come(&mut self, d: &mut Dispatcher, wi: Wi, no: u16, outcome: Outcome) {
+        wi.outcome(d, self, no, outcome, outcome == Outcome::Finished, &[]);
+        d.decide(self);
+    }
+    /// Lets time pass in looks.
+    pub fn pass(&mut self, d: &mut Dispatcher, seconds: f64) {
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += 0.1;
+            d.decide(self);
+        }
+    }
+    pub fn sent_to(&self, wi: Wi) -> Vec<usize> {
+        let to = |a: &Asked| if let HandOff(w, r) = a { (*w == wi).then_some(*r) } else { None };
+        self.asked.iter().filter_map(to).collect()
+    }
+    pub fn ends(&self, wi: Wi) -> Vec<Asked> {
+        let end = |a: &&Asked| matches!(a, Defer(w, _) | WriteOff(w) if *w == wi);
+        self.asked.iter().filter(end).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/stories.rs
@@ -0,0 +1,245 @@
+//! Short stories of what fails and what the dispatcher does.
+mod fake;
+use fake::*;
+use sagetrail_policy::*;
+
+const RERUNNABLE: usize = 0;
+const TICKETED: usize = 1;
+const EXCLUSIVE: usize = 2;
+
+#[test]
+fn work_is_held_until_a_runner_has_room() {
+    let (mut d, mut host) = start(terms(), 1);
+    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+    assert_eq!(host.sent_to(all[1]), [0], "the cap starts at two slots");
+    assert!(host.sent_to(all[2]).is_empty());
+    host.come(&mut d, all[0], 0, Outcome::Finished);
+    assert_eq!(host.sent_to(all[2]), [0]);
+}
+
+#[test]
+fn a_key_draws_its_work_to_the_runner_that_served_it() {
+    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..terms() }, 8);
+    let first = host.take(&mut d, RERUNNABLE, 42);
+    host.come(&mut d, first, 0, Outcome::Finished);
+    let holder = host.sent_to(first)[0];
+    assert_eq!(host.served, [(holder, 42)], "the peers hear of it");
+    host.asked.clear();
+    let again = host.take(&mut d, RERUNNABLE, 42);
+    assert_eq!(host.sent_to(again), [holder]);
+}
+
+#[test]
+fn dispatchers_that_cannot_talk_agree_on_a_keys_home() {
+    let sends = |seed| {
+        let mut d = Dispatcher::new(terms(), seed, 100.0);
+        let entries: Vec<_> = (0..8).map(|r| (r, Some(runner(r as u64)))).collect();
+        d.listed(100.0, News::Cached, &entries);
+        let mut host = Fake { now: 100.0, ..Fake::default() };
+        let wi = host.take(&mut d, RERUNNABLE, 42);
+        host.sent_to(wi)
+    };
+    assert!((1..20).all(|seed| sends(seed) == sends(0)));
+}
+
+#[test]
+fn work_waits_a_little_for_a_busy_holder_and_then_goes_elsewhere() {
+    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..terms() }, 2);
+    d.peer_served(100.0, 0, 42);
+    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
+    assert_eq!((host.sent_to(all[0]), host.sent_to(all[1])), (vec![0], vec![0]));
+    assert!(host.sent_to(all[2]).is_empty(), "the holder is full, the other one has room");
+    host.pass(&mut d, 0.8);
+    assert_eq!(host.sent_to(all[2]), [1]);
+}
+
+#[test]
+fn exclusive_work_that_may_have_run_is_written_off_at_once() {
+    let (mut d, mut host) = start(terms(), 3);
+    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    host.come(&mut d, wi, 0, Outcome::Error);
+    assert_eq!(host.ends(wi), [WriteOff(wi)]);
+    assert_eq!(host.sent_to(wi).len(), 1);
+}
+
+#[test]
+fn exclusive_work_proven_not_run_goes_to_another_runner() {
+    for outcome in [Outcome::Full, Outcome::NoConnection, Outcome::Moot] {
+        let (mut d, mut host) = start(terms(), 3);
+        let wi = host.take(&mut d, EXCLUSIVE, 0);
+        host.come(&mut d, wi, 0, outcome);
+        let sent = host.sent_to(wi);
+        assert_eq!(sent.len(), 2);
+        assert_ne!(sent[0], sent[1]);
+    }
+}
+
+#[test]
+fn ticketed_work_is_resent_only_in_its_cell_and_window() {
+    let (mut d, mut host) = start(terms(), 3);
+    let wi = host.take(&mut d, TICKETED, 0);
+    host.come(&mut d, wi, 0, Outcome::Error);
+    host.pass(&mut d, 2.0);
+    let sent = host.sent_to(wi);
+    assert_eq!(sent.len(), 2);
+    assert_eq!(sent[0], sent[1], "each runner is a cell of its own");
+    host.now += 2.0;
+    host.come(&mut d, wi, 1, Outcome::Error);
+    assert_eq!(host.ends(wi), [WriteOff(wi)], "the window is over, and a cell's work is not deferred");
+}
+
+#[test]
+fn the_most_hand_offs_are_kept_and_the_rest_deferred_with_a_time() {
+    let (mut d, mut host) = start(terms(), 5);
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    (0..3).for_each(|no| host.come(&mut d, wi, no, Outcome::Error));
+    assert_eq!(host.sent_to(wi).len(), 3);
+    assert!(matches!(host.ends(wi)[..], [Defer(_, s)] if s > 0.0 && s <= 2.0));
+}
+
+#[test]
+fn a_draining_runner_gets_nothing_new() {
+    let (mut d, mut host) = start(terms(), 1);
+    d.listed(100.0, News::Changes, &[(0, Some(Listed { ready: false, ..runner(0) })), (1, Some(runner(1)))]);
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    assert_eq!(host.sent_to(wi), [1]);
+    d.listed(100.0, News::Whole, &[(0, Some(runner(0)))]);
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    assert_eq!(host.sent_to(wi), [0], "a whole list that drops a runner ends it");
+}
+
+#[test]
+fn work_with_no_runner_left_is_deferred_at_once() {
+    let (mut d, mut host) = start(terms(), 1);
+    d.listed(100.0, News::Changes, &[(0, None)]);
+    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    host.pass(&mut d, 0.1);
+    assert!(matches!(host.ends(wi)[..], [Defer(..)]));
+}
+
+#[test]
+fn work_that_arrives_at_its_expiry_is_answered_in_the_same_batch() {
+    let (mut d, mut host) = start(terms(), 0);
+    host.pass(&mut d, 0.1);
+    let wi = d.take(host.now, Job { expiry: host.now, ..job(RERUNNABLE, 0) }).unwrap();
+    d.decide(&mut host);
+    assert_eq!(host.ends(wi).len(), 1);
+}
+
+#[test]
+fn a_timeout_at_expiry_is_written_off_and_never_sent_again() {
+    let (mut d, mut host) = start(terms(), 2);
+    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    host.now += 10.0;
+    host.come(&mut d, wi, 0, Outcome::Timeout);
+    host.pass(&mut d, 1.0);
+    assert_eq!((host.ends(wi), host.sent_to(wi).len()), (vec![WriteOff(wi)], 1));
+}
+
+#[test]
+fn a_wake_a_rounding_error_early_does_not_end_the_looks() {
+    let (mut d, mut host) = start(terms(), 0);
+    d.take(host.now, job(RERUNNABLE, 0)).unwrap();
+    d.listed(host.now, News::Changes, &[(0, Some(runner(0)))]);
+    d.decide(&mut host);
+    for _ in 0..20 {
+        host.now = host.wake - 1e-9;
+        d.decide(&mut host);
+        assert!(host.wake > host.now + 0.01, "a further wake was asked for");
+    }
+}
+
+#[test]
+fn a_cold_runner_gets_no_more_than_its_part() {
+    let (mut d, mut host) = start(Terms { replicas: 2, ..terms() }, 1);
+    d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0, ..runner(0) }))]);
+    // Two slots known: 0.7 x 3 x (2 x 0.2) x 1 s / 2 dispatchers = 0.42 s of work, under one work item of 0.5 s.
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    assert!(host.sent_to(wi).is_empty());
+    host.pass(&mut d, 3.5);
+    assert_eq!(host.sent_to(wi), [0], "it warms up, and the part grows");
+}
+
+#[test]
+fn a_silent_runner_is_rested_and_its_work_sent_elsewhere() {
+    let (mut d, mut host) = start(terms(), 2);
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    let hung = host.sent_to(wi)[0];
+    host.pass(&mut d, 1.2);
+    assert!(host.asked.contains(&Cancel(wi, 0)));
+    host.come(&mut d, wi, 0, Outcome::Cancelled);
+    assert_eq!(host.sent_to(wi), [hung, 1 - hung]);
+}
+
+#[test]
+fn a_runner_that_errs_fast_is_rested_then_tried_once() {
+    let (mut d, mut host) = start(terms(), 2);
+    let mut bad = Vec::new();
+    for _ in 0..12 {
+        let wi = host.take(&mut d, RERUNNABLE, 0);
+        while host.sent_to(wi).last() == Some(&0) {
+            bad.push(host.now);
+            host.come(&mut d, wi, host.sent_to(wi).len() as u16 - 1, Outcome::Error);
+        }
+        let last = host.sent_to(wi).len() as u16 - 1;
+        host.come(&mut d, wi, last, Outcome::Finished);
+        host.asked.clear();
+    }
+    assert_eq!(bad.len(), 2, "two errors are enough");
+    host.pass(&mut d, 1.6);
+    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+    assert!(all.iter().filter(|wi| host.sent_to(**wi).contains(&0)).count() <= 1, "a single trial");
+}
+
+#[test]
+fn not_everyone_is_rested_at_once() {
+    let (mut d, mut host) = start(terms(), 2);
+    for _ in 0..8 {
+        let wi = host.take(&mut d, RERUNNABLE, 0);
+        for no in 0..3 {
+            host.come(&mut d, wi, no, Outcome::Error);
+            host.pass(&mut d, 1.1);
+        }
+        assert!(!host.sent_to(wi).is_empty());
+        host.asked.clear();
+    }
+}
+
+#[test]
+fn the_list_is_asked_for_and_asked_again_after_failures() {
+    let (mut d, mut host) = start(Terms { asks_for_list: true, ..terms() }, 1);
+    let mut asked = 0;
+    for _ in 0..10 {
+        host.pass(&mut d, 2.0);
+        asked += host.asked.drain(..).filter(|a| *a == Watch).count();
+        d.list_failed(host.now);
+    }
+    assert!(asked >= 8, "{asked} calls in 20 s of failures");
+    host.pass(&mut d, 2.0);
+    d.listed(host.now, News::Changes, &[]);
+    host.asked.clear();
+    host.pass(&mut d, 20.0);
+    assert!(!host.asked.contains(&Watch), "subscribed");
+}
+
+#[test]
+fn late_reports_do_not_read_as_more_slots() {
+    let reporting = Terms { reports_in_answers: true, free_slots_at: Some(0), queue_at: Some(1), ..terms() };
+    let (mut d, mut host) = start(reporting, 1);
+    // The runner has 4 slots; every report says what was free long ago, while more and more goes out.
+    let mut out = std::collections::VecDeque::new();
+    for step in 0..60 {
+        out.push_back(host.take(&mut d, RERUNNABLE, 0));
+        host.pass(&mut d, 0.05);
+        if step % 2 == 1 {
+            let wi = out.pop_front().unwrap();
+            if host.sent_to(wi).len() == 1 {
+                let report = [4.0 + step as f32 * 1e-3, 0.0];
+                wi.outcome(&mut d, &mut host, 0, Outcome::Finished, true, &report);
+            }
+        }
+    }
+    let sent = host.asked.iter().filter(|a| matches!(a, HandOff(..))).count();
+    let finished = 60 / 2;
+    assert!(sent < finished + 12, "{sent} sent: belief in room ran away");
+}
