--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -123,6 +123,7 @@
             served: Vec::new(),
             ratios: Ring::default(),
             pace: 1.0,
+            crowded_at: f64::NEG_INFINITY,
             next_tell: now,
             next_look: now,
             next_ask,
@@ -280,6 +281,9 @@
             self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
         }
         let crowded = self.crowded(now);
+        if crowded {
+            self.crowded_at = now;
+        }
         for &r in &open {
             while self.has_room(r, now) {
                 let Some((place, p)) = self.largest(r, now, crowded) else { break };
@@ -344,6 +348,12 @@
         })
     }
 
+    fn best_value(&self) -> f64 {
+        let size = |n: usize| if self.terms.payoff_by_work { 1.0 } else { self.usual[n].max(1e-3) };
+        let values = self.terms.categories.iter().enumerate().map(|(n, c)| c.payoff / size(n));
+        values.fold(0.0, f64::max)
+    }
+
     /// What a work item still pays for a second of a slot.
     fn value(&self, w: u32, now: f64) -> f64 {
         let work = &self.works[w as usize];
@@ -422,6 +432,12 @@
         if work.waits && !self.holds(w, r, now) {
             return false;
         }
+        // Guards against freed slots going round among cheap work of many dispatchers while dear work waits at
+        // one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
+        let spare = now < self.crowded_at + 5.0 && self.value(w, now) < 0.4 * self.best_value();
+        if spare && self.room(r, now) < work.job.slots + 1.0 {
+            return false;
+        }
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
         (idle || work.job.slots <= self.room(r, now) && work.job.memory <= memory)
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -153,6 +153,8 @@
     pub(crate) ratios: Ring<f64, 64>,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
+    /// When last something held had waited half its spare time.
+    pub(crate) crowded_at: f64,
     pub(crate) arrivals: Vec<VecDeque<f64>>,
     pub(crate) peer_heard: Vec<f64>,
     pub(crate) next_tell: f64,
