--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,6 +19,9 @@
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 
+/// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A work
+/// item whose holders are well but busy waits this part of its due time for them; less or more gained less.
+const HOLDER_WAIT: f64 = 0.6;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 
@@ -99,7 +102,7 @@
         if !d.may_resend(self.0, now) {
             return d.give_up(host, self.0);
         }
-        d.hold(self.0);
+        d.hold(now, self.0);
     }
 }
 
@@ -143,7 +146,7 @@
         } else {
             self.works[id as usize] = work;
         }
-        self.hold(id);
+        self.hold(now, id);
         Some(Wi(id))
     }
 
@@ -161,14 +164,32 @@
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
 
-    fn holds(&self, w: u32, r: usize, now: f64) -> bool {
+    fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.home == r || self.runners[r].holds(work.job.key, now)
+        work.home == r || work.holders.samples().contains(&r)
     }
 
-    fn hold(&mut self, w: u32) {
+    /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
+    fn served(&mut self, now: f64, r: usize, key: u64) {
+        if key == 0 {
+            return;
+        }
+        self.runners[r].learn_key(key, now);
+        for &w in &self.held {
+            let work = &mut self.works[w as usize];
+            if work.job.key == key && !work.holders.samples().contains(&r) {
+                work.holders.push(r);
+            }
+        }
+    }
+
+    fn hold(&mut self, now: f64, w: u32) {
         self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
+        let mut holders = Ring::default();
+        let listed = (0..self.runners.len()).filter(|&r| self.runners[r].holds(job.key, now));
+        listed.for_each(|r| holders.push(r));
+        self.works[w as usize].holders = holders;
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
         // Guards against work that arrives, or comes back, with its expiry already upon it.
@@ -225,8 +246,8 @@
     /// A peer's work with this key was finished there. Guards against a key table too thin to act on where a
     /// dispatcher sees only a small part of the traffic.
     pub fn peer_served(&mut self, now: f64, runner: usize, key: u64) {
-        if let Some(runner) = self.runners.get_mut(runner) {
-            runner.learn_key(key, now);
+        if runner < self.runners.len() {
+            self.served(now, runner, key);
         }
     }
 
@@ -265,28 +286,21 @@
         let now = host.now();
         let mut open = std::mem::take(&mut self.open);
         open.clear();
-        open.extend((0..self.runners.len()).filter(|&r| self.has_room(r, now)));
+        for r in 0..self.runners.len() {
+            self.runners[r].room = self.room(r, now);
+            if self.has_room(r, now) {
+                open.push(r);
+            }
+        }
         for i in (1..open.len()).rev() {
             open.swap(i, self.pcg.below(i + 1));
         }
-        if open.is_empty() {
-            self.open = open;
-            return;
-        }
-        for &w in &self.held {
-            let others = open.iter().filter(|&&r| !self.holds(w, r, now)).count();
-            let early = now < self.works[w as usize].taken + self.holder_wait(w);
-            let waits = early && others == open.len() && self.busy_holder(w, now);
-            self.works[w as usize].waits = waits;
-            self.works[w as usize].odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
-        }
-        let crowded = self.crowded(now);
-        if crowded {
-            self.crowded_at = now;
+        if !open.is_empty() {
+            self.price(&open, now);
         }
         for &r in &open {
             while self.has_room(r, now) {
-                let Some((place, p)) = self.largest(r, now, crowded) else { break };
+                let Some((place, p)) = self.largest(r, now) else { break };
                 if p < P_MIN || self.pcg.chance() >= p {
                     break;
                 }
@@ -300,7 +314,7 @@
             let w = self.held[place];
             let key = self.works[w as usize].job.key;
             let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
-            match fitting.max_by_key(|&r| (self.holds(w, r, now), draw(key, self.runners[r].at.id))) {
+            match fitting.max_by_key(|&r| (self.holds(w, r), draw(key, self.runners[r].at.id))) {
                 Some(r) => {
                     self.send(host, place, r);
                     open.retain(|&r| self.has_room(r, now));
@@ -311,60 +325,59 @@
         self.open = open;
     }
 
-    /// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
-    /// work item whose holders are well but busy waits for them this long before any runner will do.
-    fn holder_wait(&self, w: u32) -> f64 {
-        0.6 * self.terms.categories[self.works[w as usize].job.category].due_s
-    }
-
-    fn busy_holder(&self, w: u32, now: f64) -> bool {
-        let kind = self.terms.categories[self.works[w as usize].job.category].kind;
+    /// Prices what is held for one pass.
+    fn price(&mut self, open: &[usize], now: f64) {
+        // Crowded: not all that is held can be done in time; something has waited half its spare time already.
+        let due_s = |w: u32| self.terms.categories[self.works[w as usize].job.category].due_s;
+        let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
+        self.crowded_at = if crowded { now } else { self.crowded_at };
+        let worth = |n: usize| {
+            let size = if self.terms.payoff_by_work { 1.0 } else { self.usual[n].max(1e-3) };
+            self.terms.categories[n].payoff / size
+        };
+        let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
+        for &w in &self.held {
+            let work = &self.works[w as usize];
+            let category = &self.terms.categories[work.job.category];
+            let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
+            let worth = worth(work.job.category) * share;
+            let late = now + self.pace * self.like(&work.job) > self.due(w);
+            let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
+            // Guards against freed slots going round among cheap work of many dispatchers while dear work waits
+            // at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
+            let spare = if now < self.crowded_at + 5.0 && worth < 0.4 * best { 1.0 } else { 0.0 };
+            let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
+            let early = now < work.taken + HOLDER_WAIT * category.due_s;
+            let waits = early && others == open.len() && self.busy_holder(w);
+            let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
+            let work = &mut self.works[w as usize];
+            (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
+        }
+    }
+
+    fn busy_holder(&self, w: u32) -> bool {
+        let work = &self.works[w as usize];
+        let kind = self.terms.categories[work.job.category].kind;
         let well = |r: &Runner| r.at.ready && r.resting.is_none() && kind.is_none_or(|k| k == r.at.kind);
-        (0..self.runners.len()).any(|r| well(&self.runners[r]) && self.holds(w, r, now))
+        let holders = work.holders.samples().iter().chain([&work.home]);
+        holders.filter_map(|&r| self.runners.get(r)).any(well)
     }
 
-    /// The held work item with the largest P at a runner; ties to the longest held.
-    fn largest(&self, r: usize, now: f64, crowded: bool) -> Option<(usize, f64)> {
+    /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties to
+    /// the longest held.
+    fn largest(&self, r: usize, now: f64) -> Option<(usize, f64)> {
         let mut best: Option<(usize, f64, f64)> = None;
         for (place, &w) in self.held.iter().enumerate() {
-            if !self.fits(w, r, now) {
-                continue;
-            }
             let work = &self.works[w as usize];
-            let p = if self.holds(w, r, now) { 1.0 } else { work.odds };
-            let value = if crowded { self.value(w, now) } else { 0.0 };
-            if best.is_none_or(|(_, v, q)| value > v || value == v && p > q) {
-                best = Some((place, value, p));
+            let p = if self.holds(w, r) { 1.0 } else { work.odds };
+            let ahead = best.is_none_or(|(_, v, q)| work.value > v || work.value == v && p > q);
+            if ahead && self.fits(w, r, now) {
+                best = Some((place, work.value, p));
             }
         }
         best.map(|(place, _, p)| (place, p))
     }
 
-    /// Not all that is held can be done in time: something has waited half its spare time already.
-    fn crowded(&self, now: f64) -> bool {
-        self.held.iter().any(|&w| {
-            let work = &self.works[w as usize];
-            now > work.taken + 0.5 * self.terms.categories[work.job.category].due_s
-        })
-    }
-
-    fn best_value(&self) -> f64 {
-        let size = |n: usize| if self.terms.payoff_by_work { 1.0 } else { self.usual[n].max(1e-3) };
-        let values = self.terms.categories.iter().enumerate().map(|(n, c)| c.payoff / size(n));
-        values.fold(0.0, f64::max)
-    }
-
-    /// What a work item still pays for a second of a slot.
-    fn value(&self, w: u32, now: f64) -> f64 {
-        let work = &self.works[w as usize];
-        let category = &self.terms.categories[work.job.category];
-        let run = self.pace * self.like(&work.job);
-        let late = if now + run > self.due(w) { category.tardy } else { 1.0 };
-        let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
-        let size = if self.terms.payoff_by_work { 1.0 } else { self.usual[work.job.category].max(1e-3) };
-        category.payoff * late * share / size
-    }
-
     fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
         let now = host.now();
         let w = self.held.remove(place);
@@ -372,6 +385,7 @@
         let runner = &mut self.runners[r];
         let work = &mut self.works[w as usize];
         runner.mine += work.job.slots;
+        runner.room -= work.job.slots;
         runner.memory += work.job.memory;
         if now < runner.at.born + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
@@ -414,7 +428,7 @@
         // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers, say
         // it is full: with many dispatchers a full runner is mostly full of others' work.
         let told = self.terms.peers && runner.slots.is_some() || now < runner.reported + 1.0;
-        self.room(r, now) >= 1.0 || runner.mine <= 0.0 && !told
+        runner.room >= 1.0 || runner.mine <= 0.0 && !told
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
@@ -429,18 +443,12 @@
         {
             return false;
         }
-        if work.waits && !self.holds(w, r, now) {
-            return false;
-        }
-        // Guards against freed slots going round among cheap work of many dispatchers while dear work waits at
-        // one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-        let spare = now < self.crowded_at + 5.0 && self.value(w, now) < 0.4 * self.best_value();
-        if spare && self.room(r, now) < work.job.slots + 1.0 {
+        if work.waits && !self.holds(w, r) || runner.room < work.job.slots + work.spare && work.spare > 0.0 {
             return false;
         }
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
-        (idle || work.job.slots <= self.room(r, now) && work.job.memory <= memory)
+        (idle || work.job.slots <= runner.room && work.job.memory <= memory)
             && self.cold_allows(r, now, self.expected(&work.job) * work.job.slots)
     }
 
@@ -513,10 +521,6 @@
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
-                runner.learn_key(job.key, now);
-                if job.key != 0 && self.terms.peers {
-                    self.served.push((ho.runner, job.key));
-                }
                 runner.paces.push(run / like);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
                 let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
@@ -528,6 +532,10 @@
                 self.ratios.push(run / like);
                 let bad = informed && run / like > slow;
                 self.weigh(ho.runner, now, if bad { 2.6 } else { -0.5 });
+                self.served(now, ho.runner, job.key);
+                if job.key != 0 && self.terms.peers {
+                    self.served.push((ho.runner, job.key));
+                }
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -52,6 +52,11 @@
     pub odds: f64,
     /// It waits for a busy holder rather than go elsewhere.
     pub waits: bool,
+    /// What it pays for a second of a slot, in a crowd; and the slots it must leave free.
+    pub value: f64,
+    pub spare: f64,
+    /// The runners that hold its key.
+    pub holders: Ring<usize, 8>,
 }
 
 impl Work {
@@ -69,6 +74,9 @@
             home: usize::MAX,
             odds: 0.0,
             waits: false,
+            value: 0.0,
+            spare: 0.0,
+            holders: Ring::default(),
         }
     }
 }
@@ -76,6 +84,8 @@
 pub struct Runner {
     pub at: Listed,
     pub mine: f64,
+    /// Room left, in the present pass.
+    pub room: f64,
     pub memory: f64,
     pub told: u8,
     pub theirs: Vec<f64>,
@@ -107,6 +117,7 @@
         Runner {
             at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
             mine: 0.0,
+            room: 0.0,
             memory: 0.0,
             told: 0,
             theirs: vec![0.0; peers],
