--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -8,7 +8,6 @@
 pub use crate::state::Dispatcher;
 use crate::state::{HandOff, Runner, Work};
 use crate::terms::*;
-use std::collections::VecDeque;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
@@ -114,7 +113,7 @@
         Dispatcher {
             runs: vec![Ring::default(); terms.categories.len()],
             usual: terms.categories.iter().map(|c| c.due_s).collect(),
-            arrivals: vec![VecDeque::new(); terms.quotas.len()],
+            senders: Ring::default(),
             peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
             terms,
             pcg,
@@ -138,7 +137,7 @@
     /// Takes a work item of a known category; it is held until `decide` finds it a runner.
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
-        let beyond = self.beyond_share(now, job.customer);
+        let beyond = self.beyond_share(job.customer);
         let work = Work::new(job, now, beyond);
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
         if id as usize == self.works.len() {
@@ -603,16 +602,15 @@
         (work.taken + category.due_s + category.stretch * self.expected(&work.job)).min(work.job.expiry)
     }
 
-    fn beyond_share(&mut self, now: f64, customer: usize) -> bool {
-        let part = self.terms.quotas.get(customer).map(|q| q / self.terms.replicas.max(1) as f64);
-        let Some(part) = part else { return false };
-        let seen = &mut self.arrivals[customer];
-        // 4 s: long enough to smooth single arrivals, short enough to see a customer's burst.
-        while seen.front().is_some_and(|&t| t < now - 4.0) {
-            seen.pop_front();
-        }
-        seen.push_back(now);
-        seen.len() as f64 > 4.0 * part + 1.0
+    /// A customer is beyond its share when it sends over 1.3 times its part of what all send here: traffic lies
+    /// unevenly over dispatchers, so an even part of its stated rate would mark the busy ones' customers.
+    fn beyond_share(&mut self, customer: usize) -> bool {
+        let Some(quota) = self.terms.quotas.get(customer) else { return false };
+        let part = quota / self.terms.quotas.iter().sum::<f64>().max(1e-9);
+        self.senders.push(customer);
+        let last = self.senders.samples();
+        let sent = last.iter().filter(|c| **c == customer).count() as f64;
+        sent > 1.3 * part * last.len() as f64 + 2.0
     }
 
     // ---- the rules on effects ----
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -166,7 +166,8 @@
     pub(crate) pace: f64,
     /// When last something held had waited half its spare time.
     pub(crate) crowded_at: f64,
-    pub(crate) arrivals: Vec<VecDeque<f64>>,
+    /// The customers of the last arrivals.
+    pub(crate) senders: Ring<usize, 256>,
     pub(crate) peer_heard: Vec<f64>,
     pub(crate) next_tell: f64,
     pub(crate) next_look: f64,
