--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -236,8 +236,9 @@
 
     /// A peer tells how many slots of a runner its own work holds.
     pub fn peer_holds(&mut self, now: f64, peer: usize, runner: usize, slots: f64) {
-        if let Some(theirs) = self.runners.get_mut(runner).and_then(|r| r.theirs.get_mut(peer)) {
-            *theirs = slots;
+        let Some(runner) = self.runners.get_mut(runner) else { return };
+        if let Some(theirs) = runner.theirs.get_mut(peer) {
+            runner.others += slots - std::mem::replace(theirs, slots);
             self.peer_heard[peer] = now;
         }
     }
@@ -286,7 +287,7 @@
         let mut open = std::mem::take(&mut self.open);
         open.clear();
         for r in 0..self.runners.len() {
-            self.runners[r].room = self.room(r, now);
+            self.runners[r].room = self.room(r);
             if self.has_room(r, now) {
                 open.push(r);
             }
@@ -401,18 +402,14 @@
 
     // ---- room ----
 
-    fn known(&self, r: usize, now: f64) -> f64 {
-        let runner = &self.runners[r];
-        // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
-        let fresh =
-            |(peer, slots): (usize, &f64)| if now < self.peer_heard[peer] + 5.0 { *slots } else { 0.0 };
-        runner.mine + runner.theirs.iter().enumerate().map(fresh).sum::<f64>()
+    fn known(&self, r: usize) -> f64 {
+        self.runners[r].mine + self.runners[r].others
     }
 
-    fn room(&self, r: usize, now: f64) -> f64 {
+    fn room(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
         match runner.slots {
-            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r, now)).round(),
+            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r)).round(),
             _ => runner.cap.floor() - runner.mine,
         }
     }
@@ -484,7 +481,7 @@
         let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
         let (free, queue) = (figure(self.terms.free_slots_at), figure(self.terms.queue_at));
         let (inside, memory) = (figure(self.terms.inside_at), figure(self.terms.free_memory_at));
-        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.known(r, now));
+        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.known(r));
         let runner = &mut self.runners[r];
         if let Some(memory) = memory {
             runner.seen_memory.push(memory + runner.memory);
@@ -692,11 +689,18 @@
                 self.give_up(host, w);
             }
         }
+        for peer in 0..self.peer_heard.len() {
+            // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
+            if self.peer_heard[peer].is_finite() && now > self.peer_heard[peer] + 5.0 {
+                (0..self.runners.len()).for_each(|r| self.peer_holds(now, peer, r, 0.0));
+                self.peer_heard[peer] = f64::NEG_INFINITY;
+            }
+        }
         for r in 0..self.runners.len() {
             if self.runners[r].at.ready && now < self.runners[r].at.born + self.terms.cold_s {
                 self.size_up(self.runners[r].at.kind, now);
             }
-            let known = self.known(r, now);
+            let known = self.known(r);
             self.runners[r].taken.push(known);
         }
         for w in 0..self.works.len() as u32 {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -88,7 +88,9 @@
     pub room: f64,
     pub memory: f64,
     pub told: u8,
+    /// Slots each peer's work holds, and their sum.
     pub theirs: Vec<f64>,
+    pub others: f64,
     /// Free slots by report plus the slots known taken then, and their median; memory alike.
     pub seen_slots: Ring<f64, 16>,
     pub slots: Option<f64>,
@@ -121,6 +123,7 @@
             memory: 0.0,
             told: 0,
             theirs: vec![0.0; peers],
+            others: 0.0,
             seen_slots: Ring::default(),
             slots: None,
             taken: Ring::default(),
@@ -145,6 +148,7 @@
     pub fn restart(&mut self) {
         let old = std::mem::replace(self, Runner::new(self.theirs.len()));
         (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
+        self.others = old.others;
         self.cold_sent = old.cold_sent;
     }
 }
