--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -342,11 +342,12 @@
             let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
             let cheap = worth(work.job.category) < 0.4 * best;
             let worth = worth(work.job.category) * share;
-            let late = now + self.pace * self.like(&work.job) > self.due(w);
+            // A client's repeat comes back after its first try's due time as a rule.
+            let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work waits
             // at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare = if cheap && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             let early = now < work.taken + HOLDER_WAIT * category.due_s;
             let waits = early && others == open.len() && self.busy_holder(w);
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -68,6 +68,8 @@
     pub hint: Option<f64>,
     pub slots: f64,
     pub memory: f64,
+    /// The client says it tries again.
+    pub repeat: bool,
 }
 
 /// A runner as the list names it.
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -93,7 +93,7 @@
 }
 
 pub fn job(category: usize, key: u64) -> Job {
-    Job { category, customer: 0, key, expiry: 110.0, hint: Some(0.5), slots: 1.0, memory: 0.0 }
+    Job { category, customer: 0, key, expiry: 110.0, hint: Some(0.5), slots: 1.0, memory: 0.0, repeat: false }
 }
 
 impl Fake {
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -209,6 +209,7 @@
                     hint: (flags & 1 != 0).then(|| record.u32(28) as f64 / 1e6),
                     slots: record.f32(32) as f64,
                     memory: record.f32(36) as f64,
+                    repeat: flags & 2 != 0,
                 };
                 let wi =
                     dispatcher.take(now, job).ok_or_else(|| format!("category {category} is not known"))?;
