--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -697,9 +697,12 @@
                 self.peer_heard[peer] = f64::NEG_INFINITY;
             }
         }
+        let mut sized = [false; 256];
         for r in 0..self.runners.len() {
-            if self.runners[r].at.ready && now < self.runners[r].at.born + self.terms.cold_s {
-                self.size_up(self.runners[r].at.kind, now);
+            let at = self.runners[r].at;
+            if at.ready && now < at.born + self.terms.cold_s && !sized[at.kind as usize] {
+                sized[at.kind as usize] = true;
+                self.size_up(at.kind, now);
             }
             let known = self.known(r);
             self.runners[r].taken.push(known);
