--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -83,6 +83,7 @@
         d.runners[ho.runner].mine -= job.slots;
         d.runners[ho.runner].memory -= job.memory;
         d.report(ho.runner, now, report);
+        d.changed = true;
         d.learn(&job, &ho, now, outcome);
         let work = &mut d.works[self.0 as usize];
         work.ended |= settled;
@@ -117,6 +118,7 @@
             peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
             terms,
             pcg,
+            changed: true,
             works: Vec::new(),
             free: Vec::new(),
             held: Vec::new(),
@@ -183,6 +185,7 @@
     }
 
     fn hold(&mut self, now: f64, w: u32) {
+        self.changed = true;
         self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
         let mut holders = Ring::default();
@@ -238,7 +241,9 @@
     pub fn peer_holds(&mut self, now: f64, peer: usize, runner: usize, slots: f64) {
         let Some(runner) = self.runners.get_mut(runner) else { return };
         if let Some(theirs) = runner.theirs.get_mut(peer) {
-            runner.others += slots - std::mem::replace(theirs, slots);
+            let before = std::mem::replace(theirs, slots);
+            runner.others += slots - before;
+            self.changed |= slots < before;
             self.peer_heard[peer] = now;
         }
     }
@@ -263,8 +268,12 @@
         if by >= self.next_look {
             self.next_look = now + LOOK_S;
             self.look(host);
+            self.changed = true;
+        }
+        // Only where room or work has come since the last pass: most news on a busy day is neither.
+        if std::mem::take(&mut self.changed) {
+            self.pass(host);
         }
-        self.pass(host);
         self.tell(host);
         let busy = self.works.len() > self.free.len();
         let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -156,6 +156,8 @@
 pub struct Dispatcher {
     pub(crate) terms: Terms,
     pub(crate) pcg: Pcg,
+    /// Room or work has come since the last pass.
+    pub(crate) changed: bool,
     pub(crate) works: Vec<Work>,
     pub(crate) free: Vec<u32>,
     pub(crate) held: Vec<u32>,
