--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -551,7 +551,10 @@
                 // where room was believed is a mild bad sign, and ends a trial.
                 self.weigh(ho.runner, now, 1.0);
             }
-            Outcome::Error | Outcome::NoConnection | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
+            Outcome::Error | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
+            // Guards against a dead runner that is still listed: it looks idle and draws work. A well one fails to
+            // connect less than once in a thousand, ln(0.4/0.001) = 6.
+            Outcome::NoConnection => self.weigh(ho.runner, now, 6.0),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
         }
         self.runners[ho.runner].trial = false;
