--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -126,6 +126,7 @@
             open: Vec::new(),
             served: Vec::new(),
             ratios: Ring::default(),
+            fetches: Ring::default(),
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
             next_tell: now,
@@ -392,7 +393,8 @@
     fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
         let now = host.now();
         let w = self.held.remove(place);
-        let size = self.expected(&self.works[w as usize].job) * self.works[w as usize].job.slots;
+        let size = self.cold_size(&self.works[w as usize].job);
+        let fetches = !self.holds(w, r);
         let runner = &mut self.runners[r];
         let work = &mut self.works[w as usize];
         runner.mine += work.job.slots;
@@ -405,7 +407,7 @@
         if runner.resting.is_some() {
             runner.trial = true;
         }
-        work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap));
+        work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         host.hand_off(Wi(w), r, work.job.expiry);
     }
@@ -456,12 +458,12 @@
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
         (idle || work.job.slots <= runner.room && work.job.memory <= memory)
-            && self.cold_allows(r, now, self.expected(&work.job) * work.job.slots)
+            && self.cold_allows(r, now, &work.job)
     }
 
     /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of it,
     /// stays under this dispatcher's part of what the rule allows in any span.
-    fn cold_allows(&self, r: usize, now: f64, size: f64) -> bool {
+    fn cold_allows(&self, r: usize, now: f64, job: &Job) -> bool {
         let (runner, t) = (&self.runners[r], &self.terms);
         let age = now - runner.at.born;
         if age >= t.cold_s {
@@ -473,7 +475,13 @@
         let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas as f64;
         let spent =
             runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s).map(|(_, s)| s).sum::<f64>();
-        spent + size <= mine
+        spent + self.cold_size(job) <= mine
+    }
+
+    /// What a work item weighs on a cold runner. Guards against counting by the hint alone: a runner that has just
+    /// started holds nothing, so every work item fetches first, and small ones cost mostly that.
+    fn cold_size(&self, job: &Job) -> f64 {
+        (self.expected(job) + self.fetches.mean().unwrap_or(0.0).max(0.0)) * job.slots
     }
 
     /// What a warm runner of a kind does in a second, in the unit of `expected`: its slots over its pace, the
@@ -520,7 +528,7 @@
 
     fn learn(&mut self, job: &Job, ho: &HandOff, now: f64, outcome: Outcome) {
         let run = now - ho.started.unwrap_or(ho.sent);
-        let like = self.like(job);
+        let (like, expected) = (self.like(job), self.expected(job));
         let slow = self.slow_ratio();
         let informed = job.hint.is_some() || !self.runs[job.category].samples().is_empty();
         let ceiling_s = 10.0;
@@ -537,6 +545,9 @@
                 self.runs[job.category].push(run);
                 self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
                 self.ratios.push(run / like);
+                if ho.fetches && job.key != 0 {
+                    self.fetches.push(run - expected);
+                }
                 let bad = informed && run / like > slow;
                 self.weigh(ho.runner, now, if bad { 2.6 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -16,10 +16,12 @@
     pub doubts: u32,
     pub cancelled: bool,
     pub at_cap: bool,
+    /// Its runner was not known to hold the key.
+    pub fetches: bool,
 }
 
 impl HandOff {
-    pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool) -> Self {
+    pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool, fetches: bool) -> Self {
         HandOff {
             runner,
             no,
@@ -30,6 +32,7 @@
             doubts: 0,
             cancelled: false,
             at_cap,
+            fetches,
         }
     }
 }
@@ -168,6 +171,8 @@
     pub(crate) runs: Vec<Ring<f64, 32>>,
     pub(crate) usual: Vec<f64>,
     pub(crate) ratios: Ring<f64, 64>,
+    /// How much longer than expected work took where its key was not held.
+    pub(crate) fetches: Ring<f64, 32>,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
     /// When last something held had waited half its spare time.
