--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -127,6 +127,7 @@
             served: Vec::new(),
             ratios: Ring::default(),
             fetches: Ring::default(),
+            fetch_s: 0.0,
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
             next_tell: now,
@@ -298,6 +299,7 @@
         open.clear();
         for r in 0..self.runners.len() {
             self.runners[r].room = self.room(r);
+            self.runners[r].cold_left = self.cold_left(r, now);
             if self.has_room(r, now) {
                 open.push(r);
             }
@@ -399,6 +401,7 @@
         let work = &mut self.works[w as usize];
         runner.mine += work.job.slots;
         runner.room -= work.job.slots;
+        runner.cold_left -= size;
         runner.memory += work.job.memory;
         if now < runner.at.born + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
@@ -429,6 +432,7 @@
     fn has_room(&self, r: usize, now: f64) -> bool {
         let runner = &self.runners[r];
         if !runner.at.ready
+            || runner.cold_left <= self.fetch_s
             || now < runner.full_until
             || runner.resting.is_some_and(|t| now < t || runner.trial)
         {
@@ -458,16 +462,16 @@
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
         (idle || work.job.slots <= runner.room && work.job.memory <= memory)
-            && self.cold_allows(r, now, &work.job)
+            && self.cold_size(&work.job) <= runner.cold_left
     }
 
     /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of it,
-    /// stays under this dispatcher's part of what the rule allows in any span.
-    fn cold_allows(&self, r: usize, now: f64, job: &Job) -> bool {
+    /// stays under this dispatcher's part of what the rule allows in any span. How much may still be sent now.
+    fn cold_left(&self, r: usize, now: f64) -> f64 {
         let (runner, t) = (&self.runners[r], &self.terms);
         let age = now - runner.at.born;
         if age >= t.cold_s {
-            return true;
+            return f64::INFINITY;
         }
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
@@ -475,13 +479,13 @@
         let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas as f64;
         let spent =
             runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s).map(|(_, s)| s).sum::<f64>();
-        spent + self.cold_size(job) <= mine
+        mine - spent
     }
 
     /// What a work item weighs on a cold runner. Guards against counting by the hint alone: a runner that has just
     /// started holds nothing, so every work item fetches first, and small ones cost mostly that.
     fn cold_size(&self, job: &Job) -> f64 {
-        (self.expected(job) + self.fetches.mean().unwrap_or(0.0).max(0.0)) * job.slots
+        (self.expected(job) + self.fetch_s) * job.slots
     }
 
     /// What a warm runner of a kind does in a second, in the unit of `expected`: its slots over its pace, the
@@ -705,6 +709,7 @@
 
     fn look(&mut self, host: &mut impl Host) {
         let now = host.now();
+        self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
         self.pace = self.ratios.median().unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -89,6 +89,7 @@
     pub mine: f64,
     /// Room left, in the present pass.
     pub room: f64,
+    pub cold_left: f64,
     pub memory: f64,
     pub told: u8,
     /// Slots each peer's work holds, and their sum.
@@ -123,6 +124,7 @@
             at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
             mine: 0.0,
             room: 0.0,
+            cold_left: 0.0,
             memory: 0.0,
             told: 0,
             theirs: vec![0.0; peers],
@@ -173,6 +175,7 @@
     pub(crate) ratios: Ring<f64, 64>,
     /// How much longer than expected work took where its key was not held.
     pub(crate) fetches: Ring<f64, 32>,
+    pub(crate) fetch_s: f64,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
     /// When last something held had waited half its spare time.
