--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,9 +1,9 @@
-//! Every decision of sagetrail. How to call it: make a `Dispatcher` from its `Terms` and a seed, tell it the list
-//! with `listed`, take work items with `take`, and tell each handle (`Wi`) what becomes of it: `started`,
-//! `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes due, call `decide`:
-//! it visits the runners and acts through the `Host`. The interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`)
-//! is defined in `terms.rs`.
-use crate::pcg::{draw, Pcg};
+//! Every decision of sagetrail. How to call it: make a `Dispatcher` from its `Terms` and a seed, tell it the
+//! list with `listed`, take work items with `take`, and tell each handle (`Wi`) what becomes of it:
+//! `started`, `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes
+//! due, call `decide`: it visits the runners and acts through the `Host`. The interface (`Host`, `Terms`,
+//! `Job`, `Listed`, `Outcome`) is defined in `terms.rs`.
+use crate::pcg::draw;
 use crate::ring::Ring;
 pub use crate::state::Dispatcher;
 use crate::state::{HandOff, Runner, Work};
@@ -12,14 +12,15 @@
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
 /// A key table entry lasts this long (DESIGN).
-const KEY_AGE_S: f64 = 30.0;
+pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
 pub const CAP_START: f64 = 2.0;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 
-/// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A work
-/// item whose holders are well but busy waits this part of its due time for them; less or more gained less.
+/// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
+/// work item whose holders are well but busy waits this part of its due time for them; less or more gained
+/// less.
 const HOLDER_WAIT: f64 = 0.6;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
@@ -100,44 +101,13 @@
         // Guards against giving the same failing runner its work straight back.
         work.avoid = (ho.runner, now + 1.0);
         if !d.may_resend(self.0, now) {
-            return d.give_up(host, self.0);
+            return d.end(host, self.0, true);
         }
         d.hold(now, self.0);
     }
 }
 
 impl Dispatcher {
-    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
-        let mut pcg = Pcg::new(seed);
-        // Spread, since all dispatchers may start together and the list answers few calls a second.
-        let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
-        Dispatcher {
-            runs: vec![Ring::default(); terms.categories.len()],
-            usual: terms.categories.iter().map(|c| c.due_s).collect(),
-            senders: Ring::default(),
-            peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
-            terms,
-            pcg,
-            changed: true,
-            works: Vec::new(),
-            free: Vec::new(),
-            held: Vec::new(),
-            runners: Vec::new(),
-            open: Vec::new(),
-            served: Vec::new(),
-            ratios: Ring::default(),
-            fetches: Ring::default(),
-            fetch_s: 0.0,
-            pace: 1.0,
-            crowded_at: f64::NEG_INFINITY,
-            next_tell: now,
-            next_look: now,
-            next_ask,
-            ask_again_s: 0.3,
-            wake_at: f64::INFINITY,
-        }
-    }
-
     /// Takes a work item of a known category; it is held until `decide` finds it a runner.
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
@@ -153,13 +123,11 @@
         Some(Wi(id))
     }
 
-    /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all agree,
-    /// without a word, on the ready runner where a key belongs (highest hash of both).
+    /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
+    /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
     fn find_home(&mut self, w: u32) {
         let Work { job, .. } = self.works[w as usize];
-        let kind = self.terms.categories[job.category].kind;
-        let able =
-            |r: &usize| self.runners[*r].at.ready && kind.is_none_or(|k| k == self.runners[*r].at.kind);
+        let able = |r: &usize| self.runners[*r].at.ready && self.of_kind(w, *r);
         if self.terms.peers {
             return;
         }
@@ -339,7 +307,8 @@
 
     /// Prices what is held for one pass.
     fn price(&mut self, open: &[usize], now: f64) {
-        // Crowded: not all that is held can be done in time; something has waited half its spare time already.
+        // Crowded: not all that is held can be done in time; something has waited half its spare time
+        // already.
         let due_s = |w: u32| self.terms.categories[self.works[w as usize].job.category].due_s;
         let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
@@ -357,8 +326,9 @@
             // A client's repeat comes back after its first try's due time as a rule.
             let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
-            // Guards against freed slots going round among cheap work of many dispatchers while dear work waits
-            // at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
+            // Guards against freed slots going round among cheap work of many dispatchers while dear work
+            // waits at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot
+            // free.
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             let early = now < work.taken + HOLDER_WAIT * category.due_s;
@@ -371,14 +341,12 @@
 
     fn busy_holder(&self, w: u32) -> bool {
         let work = &self.works[w as usize];
-        let kind = self.terms.categories[work.job.category].kind;
-        let well = |r: &Runner| r.at.ready && r.resting.is_none() && kind.is_none_or(|k| k == r.at.kind);
-        let holders = work.holders.samples().iter().chain([&work.home]);
-        holders.filter_map(|&r| self.runners.get(r)).any(well)
+        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && r.resting.is_none());
+        work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
-    /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties to
-    /// the longest held.
+    /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
+    /// to the longest held.
     fn largest(&self, r: usize, now: f64) -> Option<(usize, f64)> {
         let mut best: Option<(usize, f64, f64)> = None;
         for (place, &w) in self.held.iter().enumerate() {
@@ -417,14 +385,10 @@
 
     // ---- room ----
 
-    fn known(&self, r: usize) -> f64 {
-        self.runners[r].mine + self.runners[r].others
-    }
-
     fn room(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
         match runner.slots {
-            Some(slots) if self.terms.reports_in_answers => (slots - self.known(r)).round(),
+            Some(slots) if self.terms.reports_in_answers => (slots - self.runners[r].known()).round(),
             _ => runner.cap.floor() - runner.mine,
         }
     }
@@ -438,8 +402,8 @@
         {
             return false;
         }
-        // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers, say
-        // it is full: with many dispatchers a full runner is mostly full of others' work.
+        // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers,
+        // say it is full: with many dispatchers a full runner is mostly full of others' work.
         let told = self.terms.peers && runner.slots.is_some() || now < runner.reported + 1.0;
         runner.room >= 1.0 || runner.mine <= 0.0 && !told
     }
@@ -449,24 +413,24 @@
         let category = &self.terms.categories[work.job.category];
         let resting = runner.resting.is_some();
         if !self.has_room(r, now)
-            || category.kind.is_some_and(|kind| kind != runner.at.kind)
+            || !self.of_kind(w, r)
             || resting && category.repeat != Repeat::Rerunnable
             || work.avoid.0 == r && now < work.avoid.1
             || !self.may_go(w, r, now)
+            || work.waits && !self.holds(w, r)
+            || work.spare > 0.0 && runner.room < work.job.slots + work.spare
         {
             return false;
         }
-        if work.waits && !self.holds(w, r) || runner.room < work.job.slots + work.spare && work.spare > 0.0 {
-            return false;
-        }
         let idle = runner.mine <= 0.0;
         let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
         (idle || work.job.slots <= runner.room && work.job.memory <= memory)
             && self.cold_size(&work.job) <= runner.cold_left
     }
 
-    /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of it,
-    /// stays under this dispatcher's part of what the rule allows in any span. How much may still be sent now.
+    /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of
+    /// it, stays under this dispatcher's part of what the rule allows in any span. How much may still be sent
+    /// now.
     fn cold_left(&self, r: usize, now: f64) -> f64 {
         let (runner, t) = (&self.runners[r], &self.terms);
         let age = now - runner.at.born;
@@ -477,13 +441,12 @@
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
         // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
         let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas as f64;
-        let spent =
-            runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s).map(|(_, s)| s).sum::<f64>();
-        mine - spent
+        let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
+        mine - recent.map(|(_, size)| size).sum::<f64>()
     }
 
-    /// What a work item weighs on a cold runner. Guards against counting by the hint alone: a runner that has just
-    /// started holds nothing, so every work item fetches first, and small ones cost mostly that.
+    /// What a work item weighs on a cold runner. Guards against counting by the hint alone: a runner that has
+    /// just started holds nothing, so every work item fetches first, and small ones cost mostly that.
     fn cold_size(&self, job: &Job) -> f64 {
         (self.expected(job) + self.fetch_s) * job.slots
     }
@@ -492,7 +455,8 @@
     /// median of its like. 0.75 since slots may outnumber cores.
     fn size_up(&mut self, kind: u8, now: f64) {
         let warm = |r: &&Runner| r.at.kind == kind && now > r.at.born + self.terms.cold_s;
-        let able = |r: &Runner| 0.75 * r.slots.unwrap_or(r.cap) / r.paces.median().unwrap_or(1.0).max(0.1);
+        let able =
+            |r: &Runner| 0.75 * r.slots.unwrap_or(r.cap) / r.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
         let mut seen: Vec<f64> = self.runners.iter().filter(warm).map(able).collect();
         seen.sort_unstable_by(f64::total_cmp);
         let capacity = seen.get(seen.len() / 2).copied().unwrap_or(CAP_START);
@@ -503,7 +467,7 @@
         let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
         let (free, queue) = (figure(self.terms.free_slots_at), figure(self.terms.queue_at));
         let (inside, memory) = (figure(self.terms.inside_at), figure(self.terms.free_memory_at));
-        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.known(r));
+        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.runners[r].known());
         let runner = &mut self.runners[r];
         if let Some(memory) = memory {
             runner.seen_memory.push(memory + runner.memory);
@@ -515,9 +479,10 @@
         if std::mem::replace(&mut runner.last_report, this) == this {
             return;
         }
-        // Guards against late reports: what was free then is set against what was taken about then (the mean of
-        // the last second), not now, or every rise in work out would read as more slots and feed itself. A report
-        // that tells the work inside needs no such pairing. None free and no queue told says nothing of slots.
+        // Guards against late reports: what was free then is set against what was taken about then (the mean
+        // of the last second), not now, or every rise in work out would read as more slots and feed itself. A
+        // report that tells the work inside needs no such pairing. None free and no queue told says nothing
+        // of slots.
         let slots = match (inside, queue) {
             (Some(inside), _) if free >= 0.5 => free + inside,
             (None, Some(queue)) => free - queue + taken,
@@ -525,7 +490,7 @@
             _ => return,
         };
         runner.seen_slots.push(slots.max(1.0));
-        runner.slots = runner.seen_slots.median();
+        runner.slots = runner.seen_slots.quantile(0.5);
     }
 
     // ---- what an outcome teaches ----
@@ -567,8 +532,8 @@
                 self.weigh(ho.runner, now, 1.0);
             }
             Outcome::Error | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
-            // Guards against a dead runner that is still listed: it looks idle and draws work. A well one fails to
-            // connect less than once in a thousand, ln(0.4/0.001) = 6.
+            // Guards against a dead runner that is still listed: it looks idle and draws work. A well one
+            // fails to connect less than once in a thousand, ln(0.4/0.001) = 6.
             Outcome::NoConnection => self.weigh(ho.runner, now, 6.0),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
         }
@@ -576,8 +541,9 @@
     }
 
     /// The sequential test: log odds of 'unwell' (4 in 10 bad) against 'well' (3 in 100 bad). A bad sign adds
-    /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then gets a
-    /// single trial. No more than half of the ready runners rest at once: then the trouble is not theirs.
+    /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then
+    /// gets a single trial. No more than half of the ready runners rest at once: then the trouble is not
+    /// theirs.
     fn weigh(&mut self, r: usize, now: f64, sign: f64) {
         let ready = self.runners.iter().filter(|x| x.at.ready).count();
         let resting = self.runners.iter().filter(|x| x.at.ready && x.resting.is_some()).count();
@@ -598,17 +564,11 @@
         }
     }
 
-    /// Twice the time that four in five take, as a ratio to what is expected: far out for any spread of sizes.
+    /// Twice the time that four in five take, as a ratio to what is expected: far out for any spread of
+    /// sizes.
     fn slow_ratio(&self) -> f64 {
-        let mut sorted = [0.0; 64];
-        let seen = self.ratios.samples();
-        if seen.len() < 8 {
-            return f64::INFINITY;
-        }
-        let sorted = &mut sorted[..seen.len()];
-        sorted.copy_from_slice(seen);
-        sorted.sort_unstable_by(f64::total_cmp);
-        2.0 * sorted[sorted.len() * 4 / 5]
+        let known = self.ratios.samples().len() >= 8;
+        self.ratios.quantile(0.8).filter(|_| known).map_or(f64::INFINITY, |ratio| 2.0 * ratio)
     }
 
     fn expected(&self, job: &Job) -> f64 {
@@ -627,8 +587,9 @@
         (work.taken + category.due_s + category.stretch * self.expected(&work.job)).min(work.job.expiry)
     }
 
-    /// A customer is beyond its share when it sends over 1.3 times its part of what all send here: traffic lies
-    /// unevenly over dispatchers, so an even part of its stated rate would mark the busy ones' customers.
+    /// A customer is beyond its share when it sends over 1.3 times its part of what all send here: traffic
+    /// lies unevenly over dispatchers, so an even part of its stated rate would mark the busy ones'
+    /// customers.
     fn beyond_share(&mut self, customer: usize) -> bool {
         let Some(quota) = self.terms.quotas.get(customer) else { return false };
         let part = quota / self.terms.quotas.iter().sum::<f64>().max(1e-9);
@@ -670,14 +631,10 @@
         work.ran.is_none() || matches!(repeat, Repeat::Rerunnable | Repeat::Ticketed(Scope::All))
     }
 
-    fn give_up(&mut self, host: &mut impl Host, w: u32) {
-        let may_defer = self.may_defer(w);
-        self.end(host, w, may_defer);
-    }
-
-    fn end(&mut self, host: &mut impl Host, w: u32, defer: bool) {
+    /// The final answer for what is given up on: deferred where that is harmless, else written off.
+    fn end(&mut self, host: &mut impl Host, w: u32, in_time: bool) {
         self.works[w as usize].ended = true;
-        if defer {
+        if in_time && self.may_defer(w) {
             let backlog: f64 = self.held.iter().map(|&h| self.expected(&self.works[h as usize].job)).sum();
             let ready = self.runners.iter().filter(|r| r.at.ready).count().max(1) as f64;
             host.defer(Wi(w), (0.2 + backlog / ready).min(self.terms.max_come_back_s));
@@ -710,12 +667,13 @@
     fn look(&mut self, host: &mut impl Host) {
         let now = host.now();
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
-        self.pace = self.ratios.median().unwrap_or(1.0).max(1.0);
+        self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
-            if now > self.patience(w) || !self.may_resend(w, now) || !self.has_kind(w) {
+            let runner_left = (0..self.runners.len()).any(|r| self.runners[r].at.ready && self.of_kind(w, r));
+            if now > self.patience(w) || !self.may_resend(w, now) || !runner_left {
                 self.held.remove(place);
-                self.give_up(host, w);
+                self.end(host, w, true);
             }
         }
         for peer in 0..self.peer_heard.len() {
@@ -732,7 +690,7 @@
                 sized[at.kind as usize] = true;
                 self.size_up(at.kind, now);
             }
-            let known = self.known(r);
+            let known = self.runners[r].known();
             self.runners[r].taken.push(known);
         }
         for w in 0..self.works.len() as u32 {
@@ -752,9 +710,9 @@
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
 
-    fn has_kind(&self, w: u32) -> bool {
+    fn of_kind(&self, w: u32, r: usize) -> bool {
         let kind = self.terms.categories[self.works[w as usize].job.category].kind;
-        self.runners.iter().any(|r| r.at.ready && kind.is_none_or(|k| k == r.at.kind))
+        kind.is_none_or(|kind| kind == self.runners[r].at.kind)
     }
 
     /// Silence and standing still are evidence too. Guards against runners that take work and answer nothing.
@@ -784,8 +742,8 @@
         }
     }
 
-    /// Peers hear how many slots of a runner this dispatcher's work holds, whenever that changes; all of it again
-    /// every 2 s, so that a lost message does not stand.
+    /// Peers hear how many slots of a runner this dispatcher's work holds, whenever that changes; all of it
+    /// again every 2 s, so that a lost message does not stand.
     fn tell(&mut self, host: &mut impl Host) {
         let now = host.now();
         if !self.terms.peers || self.terms.replicas < 2 {
@@ -812,20 +770,3 @@
 
 /// A rest's first length: a pause of a healthy runner is over by then, a real trouble rarely is.
 pub const REST_S: f64 = 1.5;
-
-impl Runner {
-    fn holds(&self, key: u64, now: f64) -> bool {
-        key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
-    }
-
-    fn learn_key(&mut self, key: u64, now: f64) {
-        if key == 0 {
-            return;
-        }
-        match self.keys.samples_mut().iter_mut().find(|(k, _)| *k == key) {
-            Some(entry) => entry.1 = now,
-            // The longest unused goes first, as at the runner.
-            None => self.keys.replace((key, now), |a, b| a.1 < b.1),
-        }
-    }
-}
--- a/crates/policy/src/ring.rs
+++ b/crates/policy/src/ring.rs
@@ -42,10 +42,10 @@
         (self.len > 0).then(|| self.samples().iter().sum::<f64>() / self.len as f64)
     }
 
-    pub fn median(&self) -> Option<f64> {
+    pub fn quantile(&self, part: f64) -> Option<f64> {
         let mut sorted = self.kept;
         let sorted = &mut sorted[..self.len];
         sorted.sort_unstable_by(f64::total_cmp);
-        sorted.get(self.len / 2).copied()
+        sorted.get((self.len as f64 * part) as usize).copied()
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{CAP_START, REST_S};
+use crate::policy::{CAP_START, KEY_AGE_S, REST_S};
 use crate::ring::Ring;
 use crate::terms::{Job, Listed, Terms};
 use std::collections::VecDeque;
@@ -189,3 +189,58 @@
     pub(crate) ask_again_s: f64,
     pub(crate) wake_at: f64,
 }
+
+impl Dispatcher {
+    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
+        let mut pcg = Pcg::new(seed);
+        // Spread, since all dispatchers may start together and the list answers few calls a second.
+        let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
+        Dispatcher {
+            runs: vec![Ring::default(); terms.categories.len()],
+            usual: terms.categories.iter().map(|c| c.due_s).collect(),
+            senders: Ring::default(),
+            peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
+            terms,
+            pcg,
+            changed: true,
+            works: Vec::new(),
+            free: Vec::new(),
+            held: Vec::new(),
+            runners: Vec::new(),
+            open: Vec::new(),
+            served: Vec::new(),
+            ratios: Ring::default(),
+            fetches: Ring::default(),
+            fetch_s: 0.0,
+            pace: 1.0,
+            crowded_at: f64::NEG_INFINITY,
+            next_tell: now,
+            next_look: now,
+            next_ask,
+            ask_again_s: 0.3,
+            wake_at: f64::INFINITY,
+        }
+    }
+}
+
+impl Runner {
+    /// Slots known taken: by our own work and by the peers'.
+    pub fn known(&self) -> f64 {
+        self.mine + self.others
+    }
+
+    pub fn holds(&self, key: u64, now: f64) -> bool {
+        key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
+    }
+
+    pub fn learn_key(&mut self, key: u64, now: f64) {
+        if key == 0 {
+            return;
+        }
+        match self.keys.samples_mut().iter_mut().find(|(k, _)| *k == key) {
+            Some(entry) => entry.1 = now,
+            // The longest unused goes first, as at the runner.
+            None => self.keys.replace((key, now), |a, b| a.1 < b.1),
+        }
+    }
+}
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -153,7 +153,8 @@
 fn a_cold_runner_gets_no_more_than_its_part() {
     let (mut d, mut host) = start(Terms { replicas: 2, ..terms() }, 1);
     d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0, ..runner(0) }))]);
-    // Two slots known: 0.7 x 3 x (2 x 0.2) x 1 s / 2 dispatchers = 0.42 s of work, under one work item of 0.5 s.
+    // Two slots known: 0.7 x 3 x (2 x 0.2) x 1 s / 2 dispatchers = 0.42 s of work, under one work item of 0.5
+    // s.
     let wi = host.take(&mut d, RERUNNABLE, 0);
     assert!(host.sent_to(wi).is_empty());
     host.pass(&mut d, 3.5);
