--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -137,7 +137,8 @@
 
     fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.home == r || work.holders.samples().contains(&r)
+        work.home == r
+            || (self.terms.peers || self.terms.replicas == 1) && work.holders.samples().contains(&r)
     }
 
     /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
