--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -137,8 +137,7 @@
 
     fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.home == r
-            || (self.terms.peers || self.terms.replicas == 1) && work.holders.samples().contains(&r)
+        work.home == r || work.holders.samples().contains(&r)
     }
 
     /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
@@ -706,7 +705,7 @@
         let work = &self.works[w as usize];
         let (due, run) = (self.due(w), self.pace * self.like(&work.job));
         let tardy = self.terms.categories[work.job.category].tardy;
-        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 0.5 * run };
+        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
