--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -705,7 +705,7 @@
         let work = &self.works[w as usize];
         let (due, run) = (self.due(w), self.pace * self.like(&work.job));
         let tardy = self.terms.categories[work.job.category].tardy;
-        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - run };
+        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
