--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -125,13 +125,16 @@
 
     /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
-    fn find_home(&mut self, w: u32) {
+    fn find_home(&mut self, now: f64, w: u32) {
         let Work { job, .. } = self.works[w as usize];
         let able = |r: &usize| self.runners[*r].at.ready && self.of_kind(w, *r);
         if self.terms.peers {
             return;
         }
-        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| draw(job.key, self.runners[r].at.id));
+        // A cold runner is no home: it may take next to nothing, and its keys' work would wait for it.
+        let warm = |r: usize| now >= self.runners[r].at.born + self.terms.cold_s;
+        let rank = |&r: &usize| (warm(r), draw(job.key, self.runners[r].at.id));
+        let home = (0..self.runners.len()).filter(able).max_by_key(rank);
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
 
@@ -156,7 +159,7 @@
 
     fn hold(&mut self, now: f64, w: u32) {
         self.changed = true;
-        self.find_home(w);
+        self.find_home(now, w);
         let Work { taken, job, .. } = self.works[w as usize];
         let mut holders = Ring::default();
         let listed = (0..self.runners.len()).filter(|&r| self.runners[r].holds(job.key, now));
@@ -195,7 +198,7 @@
         }
         self.next_look = now;
         for place in 0..self.held.len() {
-            self.find_home(self.held[place]);
+            self.find_home(now, self.held[place]);
         }
     }
 
@@ -705,7 +708,7 @@
         let work = &self.works[w as usize];
         let (due, run) = (self.due(w), self.pace * self.like(&work.job));
         let tardy = self.terms.categories[work.job.category].tardy;
-        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
+        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
