--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,7 +21,7 @@
 /// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
 /// work item whose holders are well but busy waits this part of its due time for them; less or more gained
 /// less.
-const HOLDER_WAIT: f64 = 0.6;
+const HOLDER_WAIT: f64 = 1.2;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 
@@ -125,16 +125,13 @@
 
     /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
-    fn find_home(&mut self, now: f64, w: u32) {
+    fn find_home(&mut self, w: u32) {
         let Work { job, .. } = self.works[w as usize];
         let able = |r: &usize| self.runners[*r].at.ready && self.of_kind(w, *r);
         if self.terms.peers {
             return;
         }
-        // A cold runner is no home: it may take next to nothing, and its keys' work would wait for it.
-        let warm = |r: usize| now >= self.runners[r].at.born + self.terms.cold_s;
-        let rank = |&r: &usize| (warm(r), draw(job.key, self.runners[r].at.id));
-        let home = (0..self.runners.len()).filter(able).max_by_key(rank);
+        let home = (0..self.runners.len()).filter(able).max_by_key(|&r| draw(job.key, self.runners[r].at.id));
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
 
@@ -159,7 +156,7 @@
 
     fn hold(&mut self, now: f64, w: u32) {
         self.changed = true;
-        self.find_home(now, w);
+        self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
         let mut holders = Ring::default();
         let listed = (0..self.runners.len()).filter(|&r| self.runners[r].holds(job.key, now));
@@ -198,7 +195,7 @@
         }
         self.next_look = now;
         for place in 0..self.held.len() {
-            self.find_home(now, self.held[place]);
+            self.find_home(self.held[place]);
         }
     }
 
@@ -708,7 +705,7 @@
         let work = &self.works[w as usize];
         let (due, run) = (self.due(w), self.pace * self.like(&work.job));
         let tardy = self.terms.categories[work.job.category].tardy;
-        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - run };
+        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
