--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,7 +21,7 @@
 /// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
 /// work item whose holders are well but busy waits this part of its due time for them; less or more gained
 /// less.
-const HOLDER_WAIT: f64 = 1.2;
+const HOLDER_WAIT: f64 = 3.0;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 
