--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -18,10 +18,6 @@
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 
-/// Guards against the shared store: where it is the bottleneck, fetching a key once more costs everybody. A
-/// work item whose holders are well but busy waits this part of its due time for them; less or more gained
-/// less.
-const HOLDER_WAIT: f64 = 3.0;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 
@@ -331,8 +327,9 @@
             // free.
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
-            let early = now < work.taken + HOLDER_WAIT * category.due_s;
-            let waits = early && others == open.len() && self.busy_holder(w);
+            // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
+            // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
+            let waits = !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
