--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -320,7 +320,8 @@
             let cheap = worth(work.job.category) < 0.4 * best;
             let worth = worth(work.job.category) * share;
             // A client's repeat comes back after its first try's due time as a rule.
-            let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
+            let slack = self.due(w) - now - self.pace * self.like(&work.job);
+            let late = work.job.repeat || slack < 0.0;
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot
@@ -329,9 +330,10 @@
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = others == open.len() && self.busy_holder(w);
+            let waits = !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
+            work.slack = if crowded { slack } else { 0.0 };
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
         }
     }
@@ -342,19 +344,19 @@
         work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
-    /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
-    /// to the longest held.
+    /// The held work item with the largest P at a runner; ties to the longest held. In a crowd the largest value
+    /// comes first, and ties go to the least slack: large work items can wait where small ones cannot.
     fn largest(&self, r: usize, now: f64) -> Option<(usize, f64)> {
-        let mut best: Option<(usize, f64, f64)> = None;
+        let mut best: Option<(usize, [f64; 3])> = None;
         for (place, &w) in self.held.iter().enumerate() {
             let work = &self.works[w as usize];
             let p = if self.holds(w, r) { 1.0 } else { work.odds };
-            let ahead = best.is_none_or(|(_, v, q)| work.value > v || work.value == v && p > q);
-            if ahead && self.fits(w, r, now) {
-                best = Some((place, work.value, p));
+            let rank = [work.value, p, -work.slack];
+            if best.is_none_or(|(_, first)| rank > first) && self.fits(w, r, now) {
+                best = Some((place, rank));
             }
         }
-        best.map(|(place, _, p)| (place, p))
+        best.map(|(place, [_, p, _])| (place, p))
     }
 
     fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -58,6 +58,8 @@
     /// What it pays for a second of a slot, in a crowd; and the slots it must leave free.
     pub value: f64,
     pub spare: f64,
+    /// How long it could still wait and end in time, in a crowd.
+    pub slack: f64,
     /// The runners that hold its key.
     pub holders: Ring<usize, 8>,
 }
@@ -79,6 +81,7 @@
             waits: false,
             value: 0.0,
             spare: 0.0,
+            slack: 0.0,
             holders: Ring::default(),
         }
     }
