--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -333,7 +333,7 @@
             let waits = !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
-            work.slack = if crowded { slack } else { 0.0 };
+            work.slack = if crowded && slack > category.due_s { 1.0 } else { 0.0 };
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
         }
     }
@@ -351,12 +351,12 @@
         for (place, &w) in self.held.iter().enumerate() {
             let work = &self.works[w as usize];
             let p = if self.holds(w, r) { 1.0 } else { work.odds };
-            let rank = [work.value, p, -work.slack];
+            let rank = [work.value, -work.slack, p];
             if best.is_none_or(|(_, first)| rank > first) && self.fits(w, r, now) {
                 best = Some((place, rank));
             }
         }
-        best.map(|(place, [_, p, _])| (place, p))
+        best.map(|(place, [_, _, p])| (place, p))
     }
 
     fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
