--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -222,6 +222,14 @@
         }
     }
 
+    /// A peer has judged a runner unwell. Guards against each dispatcher paying for the same discovery: a peer's
+    /// word is one bad sign here, so that one of our own, or a second peer's, is enough.
+    pub fn peer_rested(&mut self, now: f64, runner: usize) {
+        if self.runners.get(runner).is_some_and(|r| r.resting.is_none()) {
+            self.weigh(runner, now, 2.6);
+        }
+    }
+
     /// Looks at what has become due, then visits the runners. Call once after each batch of news.
     pub fn decide(&mut self, host: &mut impl Host) {
         let now = host.now();
@@ -320,8 +328,7 @@
             let cheap = worth(work.job.category) < 0.4 * best;
             let worth = worth(work.job.category) * share;
             // A client's repeat comes back after its first try's due time as a rule.
-            let slack = self.due(w) - now - self.pace * self.like(&work.job);
-            let late = work.job.repeat || slack < 0.0;
+            let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot
@@ -330,10 +337,9 @@
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = !late && others == open.len() && self.busy_holder(w);
+            let waits = others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
-            work.slack = if crowded && slack > category.due_s { 1.0 } else { 0.0 };
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
         }
     }
@@ -344,19 +350,19 @@
         work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
-    /// The held work item with the largest P at a runner; ties to the longest held. In a crowd the largest value
-    /// comes first, and ties go to the least slack: large work items can wait where small ones cannot.
+    /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
+    /// to the longest held.
     fn largest(&self, r: usize, now: f64) -> Option<(usize, f64)> {
-        let mut best: Option<(usize, [f64; 3])> = None;
+        let mut best: Option<(usize, f64, f64)> = None;
         for (place, &w) in self.held.iter().enumerate() {
             let work = &self.works[w as usize];
             let p = if self.holds(w, r) { 1.0 } else { work.odds };
-            let rank = [work.value, -work.slack, p];
-            if best.is_none_or(|(_, first)| rank > first) && self.fits(w, r, now) {
-                best = Some((place, rank));
+            let ahead = best.is_none_or(|(_, v, q)| work.value > v || work.value == v && p > q);
+            if ahead && self.fits(w, r, now) {
+                best = Some((place, work.value, p));
             }
         }
-        best.map(|(place, [_, _, p])| (place, p))
+        best.map(|(place, _, p)| (place, p))
     }
 
     fn send(&mut self, host: &mut impl Host, place: usize, r: usize) {
@@ -558,6 +564,7 @@
             }
         } else if runner.resting.is_none() && runner.evidence > 4.5 && 2 * (resting + 1) <= ready {
             runner.resting = Some(now + runner.rest_s);
+            self.rested.push(r);
         } else if runner.evidence == 0.0 {
             runner.rest_s = REST_S;
         }
@@ -746,6 +753,7 @@
     fn tell(&mut self, host: &mut impl Host) {
         let now = host.now();
         if !self.terms.peers || self.terms.replicas < 2 {
+            self.rested.clear();
             return;
         }
         let whole = now >= self.next_tell;
@@ -760,9 +768,10 @@
         if whole {
             self.next_tell = now + 2.0;
         }
-        if !news.is_empty() || !self.served.is_empty() {
-            host.tell_peers(&news, &self.served);
+        if !news.is_empty() || !self.served.is_empty() || !self.rested.is_empty() {
+            host.tell_peers(&news, &self.served, &self.rested);
             self.served.clear();
+            self.rested.clear();
         }
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -58,8 +58,6 @@
     /// What it pays for a second of a slot, in a crowd; and the slots it must leave free.
     pub value: f64,
     pub spare: f64,
-    /// How long it could still wait and end in time, in a crowd.
-    pub slack: f64,
     /// The runners that hold its key.
     pub holders: Ring<usize, 8>,
 }
@@ -81,7 +79,6 @@
             waits: false,
             value: 0.0,
             spare: 0.0,
-            slack: 0.0,
             holders: Ring::default(),
         }
     }
@@ -173,6 +170,8 @@
     pub(crate) open: Vec<usize>,
     /// Keys of work finished since the peers were last told.
     pub(crate) served: Vec<(usize, u64)>,
+    /// Runners judged unwell since then.
+    pub(crate) rested: Vec<usize>,
     pub(crate) runs: Vec<Ring<f64, 32>>,
     pub(crate) usual: Vec<f64>,
     pub(crate) ratios: Ring<f64, 64>,
@@ -212,6 +211,7 @@
             runners: Vec::new(),
             open: Vec::new(),
             served: Vec::new(),
+            rested: Vec::new(),
             ratios: Ring::default(),
             fetches: Ring::default(),
             fetch_s: 0.0,
