--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -222,14 +222,6 @@
         }
     }
 
-    /// A peer has judged a runner unwell. Guards against each dispatcher paying for the same discovery: a peer's
-    /// word is one bad sign here, so that one of our own, or a second peer's, is enough.
-    pub fn peer_rested(&mut self, now: f64, runner: usize) {
-        if self.runners.get(runner).is_some_and(|r| r.resting.is_none()) {
-            self.weigh(runner, now, 2.6);
-        }
-    }
-
     /// Looks at what has become due, then visits the runners. Call once after each batch of news.
     pub fn decide(&mut self, host: &mut impl Host) {
         let now = host.now();
@@ -337,7 +329,7 @@
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = others == open.len() && self.busy_holder(w);
+            let waits = !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
@@ -564,7 +556,6 @@
             }
         } else if runner.resting.is_none() && runner.evidence > 4.5 && 2 * (resting + 1) <= ready {
             runner.resting = Some(now + runner.rest_s);
-            self.rested.push(r);
         } else if runner.evidence == 0.0 {
             runner.rest_s = REST_S;
         }
@@ -753,7 +744,6 @@
     fn tell(&mut self, host: &mut impl Host) {
         let now = host.now();
         if !self.terms.peers || self.terms.replicas < 2 {
-            self.rested.clear();
             return;
         }
         let whole = now >= self.next_tell;
@@ -768,10 +758,9 @@
         if whole {
             self.next_tell = now + 2.0;
         }
-        if !news.is_empty() || !self.served.is_empty() || !self.rested.is_empty() {
-            host.tell_peers(&news, &self.served, &self.rested);
+        if !news.is_empty() || !self.served.is_empty() {
+            host.tell_peers(&news, &self.served);
             self.served.clear();
-            self.rested.clear();
         }
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -170,8 +170,6 @@
     pub(crate) open: Vec<usize>,
     /// Keys of work finished since the peers were last told.
     pub(crate) served: Vec<(usize, u64)>,
-    /// Runners judged unwell since then.
-    pub(crate) rested: Vec<usize>,
     pub(crate) runs: Vec<Ring<f64, 32>>,
     pub(crate) usual: Vec<f64>,
     pub(crate) ratios: Ring<f64, 64>,
@@ -211,7 +209,6 @@
             runners: Vec::new(),
             open: Vec::new(),
             served: Vec::new(),
-            rested: Vec::new(),
             ratios: Ring::default(),
             fetches: Ring::default(),
             fetch_s: 0.0,
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -126,8 +126,8 @@
     fn forget(&mut self, wi: Wi);
     fn wake(&mut self, in_s: f64);
     fn watch(&mut self);
-    /// Tells every peer how many slots of a few runners this dispatcher's work holds, which keys' work was
-    /// finished where, and which runners it has just judged unwell.
-    fn tell_peers(&mut self, held: &[(usize, u8)], served: &[(usize, u64)], rested: &[usize]);
+    /// Tells every peer how many slots of a few runners this dispatcher's work holds, and which keys' work
+    /// was finished where.
+    fn tell_peers(&mut self, held: &[(usize, u8)], served: &[(usize, u64)]);
     fn log(&mut self, line: &str);
 }
