--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -517,7 +517,7 @@
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's work,
                 // and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
                 let bad = informed && run / like > slow;
-                self.weigh(ho.runner, now, if bad { 1.3 } else { -0.5 });
+                self.weigh(ho.runner, now, if bad { 0.8 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
                 if job.key != 0 && self.terms.peers {
                     self.served.push((ho.runner, job.key));
