--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -274,18 +274,18 @@
         if !open.is_empty() {
             self.price(&open, now);
         }
-        for &r in &open {
+        open.retain(|&r| {
             while self.has_room(r, now) {
-                let Some((place, p)) = self.largest(r, now) else { break };
+                let Some((place, p)) = self.largest(r, now) else { return false };
                 if p < P_MIN || self.pcg.chance() >= p {
-                    break;
+                    return true;
                 }
                 self.send(host, place, r);
             }
-        }
+            false
+        });
         // What every runner skipped takes its cheapest.
         let mut place = 0;
-        open.retain(|&r| self.has_room(r, now));
         while place < self.held.len() && !open.is_empty() {
             let w = self.held[place];
             let key = self.works[w as usize].job.key;
@@ -407,22 +407,20 @@
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
         let (work, runner) = (&self.works[w as usize], &self.runners[r]);
-        let category = &self.terms.categories[work.job.category];
-        let resting = runner.resting.is_some();
-        if !self.has_room(r, now)
+        // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits has no
+        // holder among the runners with room.
+        if work.waits
+            || work.spare > 0.0 && runner.room < work.job.slots + work.spare
+            || self.cold_size(&work.job) > runner.cold_left
             || !self.of_kind(w, r)
-            || resting && category.repeat != Repeat::Rerunnable
             || work.avoid.0 == r && now < work.avoid.1
             || !self.may_go(w, r, now)
-            || work.waits && !self.holds(w, r)
-            || work.spare > 0.0 && runner.room < work.job.slots + work.spare
+            || runner.resting.is_some() && !self.rerunnable(w)
         {
             return false;
         }
         let idle = runner.mine <= 0.0;
-        let memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY) - runner.memory;
-        (idle || work.job.slots <= runner.room && work.job.memory <= memory)
-            && self.cold_size(&work.job) <= runner.cold_left
+        idle || work.job.slots <= runner.room && work.job.memory <= runner.all_memory - runner.memory
     }
 
     /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of
@@ -468,6 +466,7 @@
         let runner = &mut self.runners[r];
         if let Some(memory) = memory {
             runner.seen_memory.push(memory + runner.memory);
+            runner.all_memory = runner.seen_memory.mean().unwrap_or(f64::INFINITY);
         }
         let Some(free) = free else { return };
         runner.reported = now;
@@ -517,7 +516,7 @@
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's work,
                 // and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
                 let bad = informed && run / like > slow;
-                self.weigh(ho.runner, now, if bad { 0.8 } else { -0.5 });
+                self.weigh(ho.runner, now, if bad { 1.3 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
                 if job.key != 0 && self.terms.peers {
                     self.served.push((ho.runner, job.key));
@@ -600,6 +599,10 @@
 
     // ---- the rules on effects ----
 
+    fn rerunnable(&self, w: u32) -> bool {
+        self.terms.categories[self.works[w as usize].job.category].repeat == Repeat::Rerunnable
+    }
+
     fn may_go(&self, w: u32, r: usize, now: f64) -> bool {
         let work = &self.works[w as usize];
         let Some((since, first)) = work.ran else { return true };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -102,6 +102,7 @@
     pub taken: Ring<f64, 10>,
     pub last_report: [f32; 4],
     pub seen_memory: Ring<f64, 8>,
+    pub all_memory: f64,
     pub reported: f64,
     /// What a warm runner of its kind does; kept up only while some are cold.
     pub capacity: f64,
@@ -134,6 +135,7 @@
             taken: Ring::default(),
             last_report: [0.0; 4],
             seen_memory: Ring::default(),
+            all_memory: f64::INFINITY,
             reported: f64::NEG_INFINITY,
             capacity: CAP_START,
             cap: CAP_START,
