--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -407,8 +407,8 @@
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
         let (work, runner) = (&self.works[w as usize], &self.runners[r]);
-        // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits has no
-        // holder among the runners with room.
+        // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits
+        // has no holder among the runners with room.
         if work.waits
             || work.spare > 0.0 && runner.room < work.job.slots + work.spare
             || self.cold_size(&work.job) > runner.cold_left
@@ -513,8 +513,8 @@
                 if ho.fetches && job.key != 0 {
                     self.fetches.push(run - expected);
                 }
-                // A slow finish is a weaker sign than silence or an error: a full store slows everyone's work,
-                // and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
+                // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
+                // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
                 let bad = informed && run / like > slow;
                 self.weigh(ho.runner, now, if bad { 1.3 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
@@ -531,8 +531,12 @@
             }
             Outcome::Error | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
             // Guards against a dead runner that is still listed: it looks idle and draws work. A well one
-            // fails to connect less than once in a thousand, ln(0.4/0.001) = 6.
-            Outcome::NoConnection => self.weigh(ho.runner, now, 6.0),
+            // fails to connect less than once in a thousand, ln(0.4/0.001) = 6. And where too many rest
+            // already for it to rest, it is left alone for a second all the same.
+            Outcome::NoConnection => {
+                runner.full_until = now + 1.0;
+                self.weigh(ho.runner, now, 6.0);
+            }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
         }
         self.runners[ho.runner].trial = false;
