--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -434,8 +434,12 @@
         }
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
-        // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
-        let mine = 0.7 * t.fall_multiple * present * t.fall_s / t.replicas as f64;
+        // An even part among many dispatchers is under any work item's size, so they take turns, counted from
+        // the runner's own start: any span touches two turns at most, and each may use half. 0.7: sizes are
+        // expectations, and the rest is kept for their spread and for handshakes.
+        let turn = t.replicas <= 2 || (age / t.fall_s) as usize % t.replicas == t.me;
+        let part = if turn { 1.0 / t.replicas.min(2) as f64 } else { 0.0 };
+        let mine = 0.7 * t.fall_multiple * present * t.fall_s * part;
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
     }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub replicas: usize,
+    /// This dispatcher's number among them.
+    pub me: usize,
     pub asks_for_list: bool,
     pub reports_in_answers: bool,
     /// Where in a load report each figure stands.
--- a/crates/simhost/src/decode.rs
+++ b/crates/simhost/src/decode.rs
@@ -97,6 +97,7 @@
     let retry_after = info.yes("Limits.RetryAfter")?;
     Ok(Terms {
         replicas: info.count("ReplicasOfMe")?.max(1),
+        me: info.count("Me")?,
         asks_for_list: info.text("Discovery") == "on_request",
         reports_in_answers: info.text("Report.How") == "inline",
         free_slots_at: meaning("free_slots"),
