--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -209,7 +209,9 @@
         if let Some(theirs) = runner.theirs.get_mut(peer) {
             let before = std::mem::replace(theirs, slots);
             runner.others += slots - before;
-            self.changed |= slots < before;
+            // A peer's freed slot is news for every dispatcher at once. With much held, a pass for each would
+            // cost all of them dear; own outcomes pass at once, so 30 ms later is soon enough.
+            self.changed |= slots < before && now > self.last_pass + 0.03;
             self.peer_heard[peer] = now;
         }
     }
@@ -259,10 +261,11 @@
             return;
         }
         let now = host.now();
+        self.last_pass = now;
         let mut open = std::mem::take(&mut self.open);
         open.clear();
         for r in 0..self.runners.len() {
-            self.runners[r].room = self.room(r, now);
+            self.runners[r].room = self.room(r);
             self.runners[r].cold_left = self.cold_left(r, now);
             if self.has_room(r, now) {
                 open.push(r);
@@ -382,23 +385,14 @@
 
     // ---- room ----
 
-    fn room(&self, r: usize, now: f64) -> f64 {
+    fn room(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        let present = self.warmth(now - runner.at.born);
         match runner.slots {
-            Some(slots) if self.terms.reports_in_answers => (slots * present - runner.known()).round(),
-            _ => (runner.cap * present).floor().max(1.0) - runner.mine,
+            Some(slots) if self.terms.reports_in_answers => (slots - self.runners[r].known()).round(),
+            _ => runner.cap.floor() - runner.mine,
         }
     }
 
-    /// The part of its capacity that a runner of an age is sure to have. Guards against filling the slots of a
-    /// cold runner, where all of them together are as slow as the few it can really serve.
-    fn warmth(&self, age: f64) -> f64 {
-        let t = &self.terms;
-        let warm = if age < t.cold_s { age.max(0.0) / t.cold_s } else { 1.0 };
-        t.cold_from + (1.0 - t.cold_from) * warm
-    }
-
     fn has_room(&self, r: usize, now: f64) -> bool {
         let runner = &self.runners[r];
         if !runner.at.ready
@@ -441,7 +435,8 @@
         if age >= t.cold_s {
             return f64::INFINITY;
         }
-        let present = runner.capacity * self.warmth(age - t.fall_s);
+        let warm = (age - t.fall_s).max(0.0) / t.cold_s;
+        let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
         // An even part among many dispatchers is under any work item's size, so they take turns, counted from
         // the runner's own start: any span touches two turns at most, and each may use half. 0.7: sizes are
         // expectations, and the rest is kept for their spread and for handshakes.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -165,6 +165,7 @@
     pub(crate) pcg: Pcg,
     /// Room or work has come since the last pass.
     pub(crate) changed: bool,
+    pub(crate) last_pass: f64,
     pub(crate) works: Vec<Work>,
     pub(crate) free: Vec<u32>,
     pub(crate) held: Vec<u32>,
@@ -205,6 +206,7 @@
             terms,
             pcg,
             changed: true,
+            last_pass: now,
             works: Vec::new(),
             free: Vec::new(),
             held: Vec::new(),
