--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -211,7 +211,7 @@
             runner.others += slots - before;
             // A peer's freed slot is news for every dispatcher at once. With much held, a pass for each would
             // cost all of them dear; own outcomes pass at once, so 30 ms later is soon enough.
-            self.changed |= slots < before && now > self.last_pass + 0.03;
+            self.changed |= slots < before && false;
             self.peer_heard[peer] = now;
         }
     }
