--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -39,10 +39,7 @@
             let running = d.works.iter().filter_map(|w| w.out.as_ref());
             let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
             let runner = &mut d.runners[r];
-            if running < runner.cap {
-                runner.cap = running.max(1.0);
-                runner.ceiling = (runner.cap, now);
-            }
+            runner.cap = runner.cap.min(running.max(1.0));
         }
     }
 
@@ -211,7 +208,7 @@
             runner.others += slots - before;
             // A peer's freed slot is news for every dispatcher at once. With much held, a pass for each would
             // cost all of them dear; own outcomes pass at once, so 30 ms later is soon enough.
-            self.changed |= slots < before && false;
+            self.changed |= slots < before && now > self.last_pass + 0.03;
             self.peer_heard[peer] = now;
         }
     }
@@ -503,15 +500,13 @@
         let (like, expected) = (self.like(job), self.expected(job));
         let slow = self.slow_ratio();
         let informed = job.hint.is_some() || !self.runs[job.category].samples().is_empty();
-        let ceiling_s = 10.0;
         let runner = &mut self.runners[ho.runner];
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
                 runner.paces.push(run / like);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
-                let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
-                if ho.at_cap && prompt && runner.cap < lid {
+                if ho.at_cap && prompt {
                     runner.cap += job.slots;
                 }
                 self.runs[job.category].push(run);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -107,7 +107,6 @@
     /// What a warm runner of its kind does; kept up only while some are cold.
     pub capacity: f64,
     pub cap: f64,
-    pub ceiling: (f64, f64),
     pub keys: Ring<(u64, f64), 8>,
     pub paces: Ring<f64, 8>,
     pub cold_sent: VecDeque<(f64, f64)>,
@@ -139,7 +138,6 @@
             reported: f64::NEG_INFINITY,
             capacity: CAP_START,
             cap: CAP_START,
-            ceiling: (f64::INFINITY, f64::NEG_INFINITY),
             keys: Ring::default(),
             paces: Ring::default(),
             cold_sent: VecDeque::new(),
