--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,8 +29,7 @@
     /// The hand-off's job has started.
     pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        ho.started = Some(now);
-        ho.moved = now;
+        (ho.started, ho.moved) = (Some(now), now);
         let (waited, r) = (now - ho.sent, ho.runner);
         d.runners[r].heard = now;
         // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
@@ -39,17 +38,18 @@
             let running = d.works.iter().filter_map(|w| w.out.as_ref());
             let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
             let runner = &mut d.runners[r];
-            runner.cap = runner.cap.min(running.max(1.0));
+            if running < runner.cap {
+                runner.cap = running.max(1.0);
+                runner.ceiling = (runner.cap, now);
+            }
         }
     }
 
     /// So much of the hand-off's job is done.
     pub fn progressed(self, d: &mut Dispatcher, now: f64, no: u16, share: f64) {
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        ho.moved = now;
-        ho.share = share;
-        let r = ho.runner;
-        d.runners[r].heard = now;
+        (ho.moved, ho.share) = (now, share);
+        d.runners[ho.runner].heard = now;
     }
 
     /// The client has gone; nothing is owed any more.
@@ -74,8 +74,7 @@
         let work = &mut d.works[self.0 as usize];
         let Some(ho) = work.out.take_if(|ho| ho.no == no) else { return };
         let job = work.job;
-        d.runners[ho.runner].mine -= job.slots;
-        d.runners[ho.runner].memory -= job.memory;
+        d.runners[ho.runner].load(&job, -1.0);
         d.report(ho.runner, now, report);
         d.changed = true;
         d.learn(&job, &ho, now, outcome);
@@ -239,7 +238,9 @@
         if std::mem::take(&mut self.changed) {
             self.pass(host);
         }
-        self.tell(host);
+        if self.terms.peers {
+            self.tell(host);
+        }
         let busy = self.works.len() > self.free.len();
         let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
         if self.wake_at <= by {
@@ -305,7 +306,7 @@
     fn price(&mut self, open: &[usize], now: f64) {
         // Crowded: not all that is held can be done in time; something has waited half its spare time
         // already.
-        let due_s = |w: u32| self.terms.categories[self.works[w as usize].job.category].due_s;
+        let due_s = |w: u32| self.category(w).due_s;
         let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
         let worth = |n: usize| {
@@ -315,7 +316,7 @@
         let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
         for &w in &self.held {
             let work = &self.works[w as usize];
-            let category = &self.terms.categories[work.job.category];
+            let category = self.category(w);
             let share = if work.beyond { self.terms.beyond_share } else { 1.0 };
             let cheap = worth(work.job.category) < 0.4 * best;
             let worth = worth(work.job.category) * share;
@@ -364,10 +365,8 @@
         let fetches = !self.holds(w, r);
         let runner = &mut self.runners[r];
         let work = &mut self.works[w as usize];
-        runner.mine += work.job.slots;
-        runner.room -= work.job.slots;
+        runner.load(&work.job, 1.0);
         runner.cold_left -= size;
-        runner.memory += work.job.memory;
         if now < runner.at.born + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
@@ -415,7 +414,7 @@
             || !self.of_kind(w, r)
             || work.avoid.0 == r && now < work.avoid.1
             || !self.may_go(w, r, now)
-            || runner.resting.is_some() && !self.rerunnable(w)
+            || runner.resting.is_some() && self.category(w).repeat != Repeat::Rerunnable
         {
             return false;
         }
@@ -500,13 +499,15 @@
         let (like, expected) = (self.like(job), self.expected(job));
         let slow = self.slow_ratio();
         let informed = job.hint.is_some() || !self.runs[job.category].samples().is_empty();
+        let ceiling_s = 10.0;
         let runner = &mut self.runners[ho.runner];
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
                 runner.paces.push(run / like);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
-                if ho.at_cap && prompt {
+                let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
+                if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
                 self.runs[job.category].push(run);
@@ -587,7 +588,7 @@
 
     fn due(&self, w: u32) -> f64 {
         let work = &self.works[w as usize];
-        let category = &self.terms.categories[work.job.category];
+        let category = self.category(w);
         (work.taken + category.due_s + category.stretch * self.expected(&work.job)).min(work.job.expiry)
     }
 
@@ -605,14 +606,10 @@
 
     // ---- the rules on effects ----
 
-    fn rerunnable(&self, w: u32) -> bool {
-        self.terms.categories[self.works[w as usize].job.category].repeat == Repeat::Rerunnable
-    }
-
     fn may_go(&self, w: u32, r: usize, now: f64) -> bool {
         let work = &self.works[w as usize];
         let Some((since, first)) = work.ran else { return true };
-        let category = &self.terms.categories[work.job.category];
+        let category = self.category(w);
         let (a, b) = (&self.runners[first].at, &self.runners[r].at);
         match category.repeat {
             Repeat::Rerunnable => true,
@@ -633,16 +630,12 @@
         work.made < self.terms.most_hand_offs && work.ran.is_none_or(|(_, first)| self.may_go(w, first, now))
     }
 
-    fn may_defer(&self, w: u32) -> bool {
-        let work = &self.works[w as usize];
-        let repeat = self.terms.categories[work.job.category].repeat;
-        work.ran.is_none() || matches!(repeat, Repeat::Rerunnable | Repeat::Ticketed(Scope::All))
-    }
-
     /// The final answer for what is given up on: deferred where that is harmless, else written off.
     fn end(&mut self, host: &mut impl Host, w: u32, in_time: bool) {
-        self.works[w as usize].ended = true;
-        if in_time && self.may_defer(w) {
+        let again = matches!(self.category(w).repeat, Repeat::Rerunnable | Repeat::Ticketed(Scope::All));
+        let work = &mut self.works[w as usize];
+        work.ended = true;
+        if in_time && (again || work.ran.is_none()) {
             let backlog: f64 = self.held.iter().map(|&h| self.expected(&self.works[h as usize].job)).sum();
             let ready = self.runners.iter().filter(|r| r.at.ready).count().max(1) as f64;
             host.defer(Wi(w), (0.2 + backlog / ready).min(self.terms.max_come_back_s));
@@ -662,11 +655,10 @@
     }
 
     fn cancel(&mut self, host: &mut impl Host, w: u32) {
-        if let Some(ho) = self.works[w as usize].out.as_mut().filter(|ho| !ho.cancelled) {
-            if self.terms.may_cancel {
-                ho.cancelled = true;
-                host.cancel(Wi(w), ho.no);
-            }
+        let may = self.terms.may_cancel;
+        if let Some(ho) = self.works[w as usize].out.as_mut().filter(|ho| may && !ho.cancelled) {
+            ho.cancelled = true;
+            host.cancel(Wi(w), ho.no);
         }
     }
 
@@ -698,8 +690,7 @@
                 sized[at.kind as usize] = true;
                 self.size_up(at.kind, now);
             }
-            let known = self.runners[r].known();
-            self.runners[r].taken.push(known);
+            self.runners[r].sample_taken();
         }
         for w in 0..self.works.len() as u32 {
             if self.works[w as usize].live && self.works[w as usize].out.is_some() {
@@ -712,15 +703,19 @@
     fn patience(&self, w: u32) -> f64 {
         let work = &self.works[w as usize];
         let (due, run) = (self.due(w), self.pace * self.like(&work.job));
-        let tardy = self.terms.categories[work.job.category].tardy;
-        let last = if tardy > 0.0 { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
+        // Where late pays nothing, it ends with the last start that a long run would still make in time.
+        let late_pays = self.category(w).tardy > 0.0;
+        let last = if late_pays { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
 
+    fn category(&self, w: u32) -> &Category {
+        &self.terms.categories[self.works[w as usize].job.category]
+    }
+
     fn of_kind(&self, w: u32, r: usize) -> bool {
-        let kind = self.terms.categories[self.works[w as usize].job.category].kind;
-        kind.is_none_or(|kind| kind == self.runners[r].at.kind)
+        self.category(w).kind.is_none_or(|kind| kind == self.runners[r].at.kind)
     }
 
     /// Silence and standing still are evidence too. Guards against runners that take work and answer nothing.
@@ -754,9 +749,6 @@
     /// again every 2 s, so that a lost message does not stand.
     fn tell(&mut self, host: &mut impl Host) {
         let now = host.now();
-        if !self.terms.peers || self.terms.replicas < 2 {
-            return;
-        }
         let whole = now >= self.next_tell;
         let mut news: Vec<(usize, u8)> = Vec::new();
         for (r, runner) in self.runners.iter_mut().enumerate() {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -107,6 +107,7 @@
     /// What a warm runner of its kind does; kept up only while some are cold.
     pub capacity: f64,
     pub cap: f64,
+    pub ceiling: (f64, f64),
     pub keys: Ring<(u64, f64), 8>,
     pub paces: Ring<f64, 8>,
     pub cold_sent: VecDeque<(f64, f64)>,
@@ -138,6 +139,7 @@
             reported: f64::NEG_INFINITY,
             capacity: CAP_START,
             cap: CAP_START,
+            ceiling: (f64::INFINITY, f64::NEG_INFINITY),
             keys: Ring::default(),
             paces: Ring::default(),
             cold_sent: VecDeque::new(),
@@ -192,7 +194,8 @@
 }
 
 impl Dispatcher {
-    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
+    pub fn new(mut terms: Terms, seed: u64, now: f64) -> Self {
+        terms.peers &= terms.replicas > 1;
         let mut pcg = Pcg::new(seed);
         // Spread, since all dispatchers may start together and the list answers few calls a second.
         let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
@@ -226,6 +229,17 @@
 }
 
 impl Runner {
+    /// A work item comes (1) or goes (-1).
+    pub fn load(&mut self, job: &Job, sign: f64) {
+        self.mine += sign * job.slots;
+        self.room -= sign * job.slots;
+        self.memory += sign * job.memory;
+    }
+
+    pub fn sample_taken(&mut self) {
+        self.taken.push(self.known());
+    }
+
     /// Slots known taken: by our own work and by the peers'.
     pub fn known(&self) -> f64 {
         self.mine + self.others
