--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -330,7 +330,7 @@
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = !late && others == open.len() && self.busy_holder(w);
+            let waits = others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
