--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -291,7 +291,11 @@
             let w = self.held[place];
             let key = self.works[w as usize].job.key;
             let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
-            match fitting.max_by_key(|&r| (self.holds(w, r), draw(key, self.runners[r].at.id))) {
+            // Among equally cheap ones: where peers share the table, the quickest of late; else where all
+            // agree.
+            let quick = |r: usize| (1e6 / self.runners[r].pace) as u64;
+            let tie = |r| if self.terms.peers { quick(r) } else { draw(key, self.runners[r].at.id) };
+            match fitting.max_by_key(|&r| (self.holds(w, r), tie(r))) {
                 Some(r) => {
                     self.send(host, place, r);
                     open.retain(|&r| self.has_room(r, now));
@@ -304,8 +308,7 @@
 
     /// Prices what is held for one pass.
     fn price(&mut self, open: &[usize], now: f64) {
-        // Crowded: not all that is held can be done in time; something has waited half its spare time
-        // already.
+        // Crowded: not all that is held can be in time; something has waited half its spare time.
         let due_s = |w: u32| self.category(w).due_s;
         let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
@@ -324,13 +327,12 @@
             let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
-            // waits at one of them: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot
-            // free.
+            // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = others == open.len() && self.busy_holder(w);
+            let waits = !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
@@ -422,9 +424,8 @@
         idle || work.job.slots <= runner.room && work.job.memory <= runner.all_memory - runner.memory
     }
 
-    /// Guards against pushing over a runner that has just started: the work sent to it, whatever became of
-    /// it, stays under this dispatcher's part of what the rule allows in any span. How much may still be sent
-    /// now.
+    /// What may still be sent. Guards against pushing over a runner that has just started: the work sent to
+    /// it, whatever became of it, stays under this dispatcher's part of what the rule allows in any span.
     fn cold_left(&self, r: usize, now: f64) -> f64 {
         let (runner, t) = (&self.runners[r], &self.terms);
         let age = now - runner.at.born;
@@ -453,8 +454,7 @@
     /// median of its like. 0.75 since slots may outnumber cores.
     fn size_up(&mut self, kind: u8, now: f64) {
         let warm = |r: &&Runner| r.at.kind == kind && now > r.at.born + self.terms.cold_s;
-        let able =
-            |r: &Runner| 0.75 * r.slots.unwrap_or(r.cap) / r.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
+        let able = |r: &Runner| 0.75 * r.slots.unwrap_or(r.cap) / r.pace;
         let mut seen: Vec<f64> = self.runners.iter().filter(warm).map(able).collect();
         seen.sort_unstable_by(f64::total_cmp);
         let capacity = seen.get(seen.len() / 2).copied().unwrap_or(CAP_START);
@@ -505,6 +505,7 @@
             Outcome::Finished => {
                 runner.heard = now;
                 runner.paces.push(run / like);
+                runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
                 let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
                 if ho.at_cap && prompt && runner.cap < lid {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -109,7 +109,9 @@
     pub cap: f64,
     pub ceiling: (f64, f64),
     pub keys: Ring<(u64, f64), 8>,
+    /// How long its last work took beside what was expected, and the median.
     pub paces: Ring<f64, 8>,
+    pub pace: f64,
     pub cold_sent: VecDeque<(f64, f64)>,
     pub full_until: f64,
     pub heard: f64,
@@ -142,6 +144,7 @@
             ceiling: (f64::INFINITY, f64::NEG_INFINITY),
             keys: Ring::default(),
             paces: Ring::default(),
+            pace: 1.0,
             cold_sent: VecDeque::new(),
             full_until: f64::NEG_INFINITY,
             heard: f64::NEG_INFINITY,
