--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -167,7 +167,7 @@
         }
         for &(index, listed) in entries {
             while self.runners.len() <= index {
-                self.runners.push(Runner::new(self.terms.replicas, self.terms.categories.len()));
+                self.runners.push(Runner::new(self.terms.replicas));
             }
             let runner = &mut self.runners[index];
             match listed {
@@ -415,7 +415,6 @@
             || self.cold_size(&work.job) > runner.cold_left
             || !self.of_kind(w, r)
             || work.avoid.0 == r && now < work.avoid.1
-            || now < runner.refused[work.job.category].0
             || !self.may_go(w, r, now)
             || runner.resting.is_some() && self.category(w).repeat != Repeat::Rerunnable
         {
@@ -505,7 +504,6 @@
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
-                runner.refused[job.category] = (now, REFUSED_S);
                 runner.paces.push(run / like);
                 runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
@@ -530,10 +528,9 @@
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
-                // Guards against a runner that answers 'full' to one category while it takes the rest, or hangs
-                // with a full queue: where room was believed, that category stays away, twice as long each time.
-                let (until, rest_s) = &mut runner.refused[job.category];
-                (*until, *rest_s) = (now + *rest_s, (2.0 * *rest_s).min(6.0));
+                runner.full_until = now + 0.2;
+                // Guards against a runner that hangs with a full queue, or works on for others unseen: 'full'
+                // where room was believed is a mild bad sign, and ends a trial.
                 self.weigh(ho.runner, now, 1.0);
             }
             Outcome::Error | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
@@ -774,5 +771,3 @@
 
 /// A rest's first length: a pause of a healthy runner is over by then, a real trouble rarely is.
 pub const REST_S: f64 = 1.5;
-/// How long a category first stays away after 'full': some jobs end in that time on a busy runner.
-pub const REFUSED_S: f64 = 0.3;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{CAP_START, KEY_AGE_S, REFUSED_S, REST_S};
+use crate::policy::{CAP_START, KEY_AGE_S, REST_S};
 use crate::ring::Ring;
 use crate::terms::{Job, Listed, Terms};
 use std::collections::VecDeque;
@@ -114,8 +114,6 @@
     pub pace: f64,
     pub cold_sent: VecDeque<(f64, f64)>,
     pub full_until: f64,
-    /// By category: until when it stays away after 'full', and for how long the next time.
-    pub refused: Vec<(f64, f64)>,
     pub heard: f64,
     pub evidence: f64,
     pub resting: Option<f64>,
@@ -124,7 +122,7 @@
 }
 
 impl Runner {
-    pub fn new(peers: usize, categories: usize) -> Self {
+    pub fn new(peers: usize) -> Self {
         Runner {
             at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
             mine: 0.0,
@@ -149,7 +147,6 @@
             pace: 1.0,
             cold_sent: VecDeque::new(),
             full_until: f64::NEG_INFINITY,
-            refused: vec![(f64::NEG_INFINITY, REFUSED_S); categories],
             heard: f64::NEG_INFINITY,
             evidence: 0.0,
             resting: None,
@@ -159,7 +156,7 @@
     }
 
     pub fn restart(&mut self) {
-        let old = std::mem::replace(self, Runner::new(self.theirs.len(), self.refused.len()));
+        let old = std::mem::replace(self, Runner::new(self.theirs.len()));
         (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
         self.others = old.others;
         self.cold_sent = old.cold_sent;
