--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::terms::*;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
-const P_MIN: f64 = 0.63;
+const P_MIN: f64 = 0.4;
 /// A key table entry lasts this long (DESIGN).
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
