--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::terms::*;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
-const P_MIN: f64 = 0.4;
+const P_MIN: f64 = 0.63;
 /// A key table entry lasts this long (DESIGN).
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
@@ -328,7 +328,7 @@
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            let spare = if false && (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
