--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -328,11 +328,11 @@
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare = if false && (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = !late && others == open.len() && self.busy_holder(w);
+            let waits = false && !late && others == open.len() && self.busy_holder(w);
             let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
