--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -120,7 +120,7 @@
     fn find_home(&mut self, w: u32) {
         let Work { job, .. } = self.works[w as usize];
         let able = |r: &usize| self.runners[*r].at.ready && self.of_kind(w, *r);
-        if self.terms.peers || true {
+        if self.terms.peers {
             return;
         }
         let home = (0..self.runners.len()).filter(able).max_by_key(|&r| draw(job.key, self.runners[r].at.id));
@@ -238,7 +238,7 @@
         if std::mem::take(&mut self.changed) {
             self.pass(host);
         }
-        if self.terms.peers || true {
+        if self.terms.peers {
             self.tell(host);
         }
         let busy = self.works.len() > self.free.len();
@@ -437,8 +437,8 @@
         // An even part among many dispatchers is under any work item's size, so they take turns, counted from
         // the runner's own start: any span touches two turns at most, and each may use half. 0.7: sizes are
         // expectations, and the rest is kept for their spread and for handshakes.
-        let turn = t.replicas <= 2 || (age / t.fall_s) as usize % t.replicas == t.me;
-        let part = if turn { 1.0 / t.replicas.min(2) as f64 } else { 0.0 };
+        let turn = true || t.replicas <= 2 || (age / t.fall_s) as usize % t.replicas == t.me;
+        let part = if turn { 1.0 / t.replicas as f64 } else { 0.0 };
         let mine = 0.7 * t.fall_multiple * present * t.fall_s * part;
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
