--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -129,7 +129,7 @@
 
     fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.home == r || work.holders.samples().contains(&r)
+        work.holders.samples().contains(&r)
     }
 
     /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
@@ -342,7 +342,7 @@
     fn busy_holder(&self, w: u32) -> bool {
         let work = &self.works[w as usize];
         let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && r.resting.is_none());
-        work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
+        work.holders.samples().iter().any(|r| well(r) && self.of_kind(w, *r))
     }
 
     /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
@@ -437,8 +437,8 @@
         // An even part among many dispatchers is under any work item's size, so they take turns, counted from
         // the runner's own start: any span touches two turns at most, and each may use half. 0.7: sizes are
         // expectations, and the rest is kept for their spread and for handshakes.
-        let turn = true || t.replicas <= 2 || (age / t.fall_s) as usize % t.replicas == t.me;
-        let part = if turn { 1.0 / t.replicas as f64 } else { 0.0 };
+        let turn = t.replicas <= 2 || (age / t.fall_s) as usize % t.replicas == t.me;
+        let part = if turn { 1.0 / t.replicas.min(2) as f64 } else { 0.0 };
         let mine = 0.7 * t.fall_multiple * present * t.fall_s * part;
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
