--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -129,7 +129,7 @@
 
     fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.holders.samples().contains(&r)
+        work.home == r || work.holders.samples().contains(&r)
     }
 
     /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
@@ -342,7 +342,7 @@
     fn busy_holder(&self, w: u32) -> bool {
         let work = &self.works[w as usize];
         let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && r.resting.is_none());
-        work.holders.samples().iter().any(|r| well(r) && self.of_kind(w, *r))
+        work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
     /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
