--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -108,7 +108,7 @@
     pub capacity: f64,
     pub cap: f64,
     pub ceiling: (f64, f64),
-    pub keys: Ring<(u64, f64), 8>,
+    pub keys: Ring<(u64, f64), 14>,
     /// How long its last work took beside what was expected, and the median.
     pub paces: Ring<f64, 8>,
     pub pace: f64,
