--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -108,7 +108,9 @@
     pub capacity: f64,
     pub cap: f64,
     pub ceiling: (f64, f64),
-    pub keys: Ring<(u64, f64), 14>,
+    /// The key table: 5 a runner. A wrong entry draws work to a fetch that looked free, a missing one costs a
+    /// coin at most, so few and recent ones beat many (8 and 14 were tried).
+    pub keys: Ring<(u64, f64), 5>,
     /// How long its last work took beside what was expected, and the median.
     pub paces: Ring<f64, 8>,
     pub pace: f64,
