--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -11,7 +11,9 @@
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
-/// A key table entry lasts this long (DESIGN).
+/// The key table: how many entries a runner, and how long one lasts (DESIGN). Few and recent beat many (8,
+/// 14): a wrong entry draws work to a fetch that looked free, a missing one costs a coin at most.
+pub const KEYS: usize = 5;
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
 pub const CAP_START: f64 = 2.0;
@@ -420,8 +422,8 @@
         {
             return false;
         }
-        let idle = runner.mine <= 0.0;
-        idle || work.job.slots <= runner.room && work.job.memory <= runner.all_memory - runner.memory
+        let room = work.job.slots <= runner.room && work.job.memory <= runner.all_memory - runner.memory;
+        room || runner.mine <= 0.0
     }
 
     /// What may still be sent. Guards against pushing over a runner that has just started: the work sent to
@@ -759,9 +761,7 @@
                 news.push((r, mine));
             }
         }
-        if whole {
-            self.next_tell = now + 2.0;
-        }
+        self.next_tell = if whole { now + 2.0 } else { self.next_tell };
         if !news.is_empty() || !self.served.is_empty() {
             host.tell_peers(&news, &self.served);
             self.served.clear();
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{CAP_START, KEY_AGE_S, REST_S};
+use crate::policy::{CAP_START, KEYS, KEY_AGE_S, REST_S};
 use crate::ring::Ring;
 use crate::terms::{Job, Listed, Terms};
 use std::collections::VecDeque;
@@ -108,9 +108,7 @@
     pub capacity: f64,
     pub cap: f64,
     pub ceiling: (f64, f64),
-    /// The key table: 5 a runner. A wrong entry draws work to a fetch that looked free, a missing one costs a
-    /// coin at most, so few and recent ones beat many (8 and 14 were tried).
-    pub keys: Ring<(u64, f64), 5>,
+    pub keys: Ring<(u64, f64), KEYS>,
     /// How long its last work took beside what was expected, and the median.
     pub paces: Ring<f64, 8>,
     pub pace: f64,
