--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -375,9 +375,7 @@
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
         }
-        if runner.resting.is_some() {
-            runner.trial = true;
-        }
+        runner.trial |= runner.resting.is_some();
         work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         host.hand_off(Wi(w), r, work.job.expiry);
@@ -501,7 +499,6 @@
         let (like, expected) = (self.like(job), self.expected(job));
         let slow = self.slow_ratio();
         let informed = job.hint.is_some() || !self.runs[job.category].samples().is_empty();
-        let ceiling_s = 10.0;
         let runner = &mut self.runners[ho.runner];
         match outcome {
             Outcome::Finished => {
@@ -509,7 +506,7 @@
                 runner.paces.push(run / like);
                 runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
-                let lid = if now < runner.ceiling.1 + ceiling_s { runner.ceiling.0 } else { f64::INFINITY };
+                let lid = if now < runner.ceiling.1 + 10.0 { runner.ceiling.0 } else { f64::INFINITY };
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
@@ -686,6 +683,11 @@
                 self.peer_heard[peer] = f64::NEG_INFINITY;
             }
         }
+        for w in 0..self.works.len() as u32 {
+            if self.works[w as usize].live && self.works[w as usize].out.is_some() {
+                self.doubt(host, w, now);
+            }
+        }
         let mut sized = [false; 256];
         for r in 0..self.runners.len() {
             let at = self.runners[r].at;
@@ -694,10 +696,8 @@
                 self.size_up(at.kind, now);
             }
             self.runners[r].sample_taken();
-        }
-        for w in 0..self.works.len() as u32 {
-            if self.works[w as usize].live && self.works[w as usize].out.is_some() {
-                self.doubt(host, w, now);
+            if self.runners[r].resting.is_some_and(|until| until - self.runners[r].rest_s > now - LOOK_S) {
+                host.log(r, "judged unwell, rests");
             }
         }
     }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -131,5 +131,5 @@
     /// Tells every peer how many slots of a few runners this dispatcher's work holds, and which keys' work
     /// was finished where.
     fn tell_peers(&mut self, held: &[(usize, u8)], served: &[(usize, u64)]);
-    fn log(&mut self, line: &str);
+    fn log(&mut self, runner: usize, line: &str);
 }
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -18,6 +18,7 @@
     pub told: Vec<(usize, u8)>,
     pub served: Vec<(usize, u64)>,
     pub wake: f64,
+    pub logged: Vec<String>,
 }
 
 impl Host for Fake {
@@ -47,7 +48,9 @@
         self.told.extend_from_slice(held);
         self.served.extend_from_slice(served);
     }
-    fn log(&mut self, _: &str) {}
+    fn log(&mut self, runner: usize, line: &str) {
+        self.logged.push(format!("{runner} {line}"));
+    }
 }
 
 pub const CATEGORIES: [Repeat; 4] =
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -168,6 +168,7 @@
     let hung = host.sent_to(wi)[0];
     host.pass(&mut d, 1.2);
     assert!(host.asked.contains(&Cancel(wi, 0)));
+    assert_eq!(host.logged, [format!("{hung} judged unwell, rests")]);
     host.come(&mut d, wi, 0, Outcome::Cancelled);
     assert_eq!(host.sent_to(wi), [hung, 1 - hung]);
 }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -110,7 +110,9 @@
         }
         self.notify(&mut text, true);
     }
-    fn log(&mut self, line: &str) {
+    fn log(&mut self, runner: usize, line: &str) {
+        let [a, b, c, d, low, high] = self.ids.addresses[runner];
+        let line = format!("{a}.{b}.{c}.{d}:{} {line}", u16::from_le_bytes([low, high]));
         let place = self.reply.text(line.as_bytes());
         self.reply.act(90, self.instance, &[&place]);
     }
