--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -330,8 +330,7 @@
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare =
-                if now >= self.crowded_at + 5.0 { 0.0 } else { cheap as u8 as f64 + late as u8 as f64 };
+            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
