The dispatcher on sockets: clients, runners, list and exchange round the module

The settings' reader moved into the policy crate and serves both hosts; the module is unchanged. Not yet there: a story for each part over loopback, settling at SIGTERM by the module's own rules.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,11 @@
 //! The decisions of sagetrail and the plain types they are spoken in.
 mod pcg;
 mod policy;
+mod reading;
 mod ring;
 mod state;
 mod terms;
 
 pub use policy::{Dispatcher, Wi};
+pub use reading::{read_terms, Stated};
 pub use terms::*;
--- a/crates/simhost/src/decode.rs
+++ b/crates/policy/src/reading.rs
@@ -1,15 +1,21 @@
-//! Reads the `Info` of an instance's start into the terms that the decisions know.
-use sagetrail_policy::{Category, Repeat, Scope, Terms};
-use std::collections::HashMap;
+//! Reads what is stated at start into the terms that the decisions know; the same for every host.
+use crate::terms::{Category, Repeat, Scope, Terms};
+use std::collections::BTreeMap;
 
-struct Info<'a>(HashMap<&'a str, &'a str>);
+/// What is stated: a path and its value each, lists of plain values joined with commas.
+#[derive(Default)]
+pub struct Stated(BTreeMap<String, String>);
 
-impl Info<'_> {
-    fn text(&self, path: &str) -> &str {
-        self.0.get(path).copied().unwrap_or("")
+impl Stated {
+    pub fn state(&mut self, path: &str, value: &str) {
+        self.0.insert(path.to_string(), value.replace(' ', "_"));
     }
 
-    fn number(&self, path: &str) -> Result<f64, String> {
+    pub fn text(&self, path: &str) -> &str {
+        self.0.get(path).map_or("", String::as_str)
+    }
+
+    pub fn number(&self, path: &str) -> Result<f64, String> {
         match self.text(path) {
             "" => Ok(0.0),
             text => match text.parse::<f64>() {
@@ -19,11 +25,11 @@
         }
     }
 
-    fn seconds(&self, path: &str) -> Result<f64, String> {
+    pub fn seconds(&self, path: &str) -> Result<f64, String> {
         Ok(self.number(path)? / 1e6)
     }
 
-    fn count(&self, path: &str) -> Result<usize, String> {
+    pub fn count(&self, path: &str) -> Result<usize, String> {
         let number = self.number(path)?;
         if (0.0..=65535.0).contains(&number) && number.fract() == 0.0 {
             return Ok(number as usize);
@@ -31,7 +37,7 @@
         Err(format!("setting {path}: '{number}' is not a count"))
     }
 
-    fn yes(&self, path: &str) -> Result<bool, String> {
+    pub fn yes(&self, path: &str) -> Result<bool, String> {
         match self.text(path) {
             "true" => Ok(true),
             "false" | "" => Ok(false),
@@ -50,13 +56,7 @@
     }
 }
 
-pub fn terms(info: &[u8]) -> Result<Terms, String> {
-    let info = std::str::from_utf8(info).map_err(|_| "settings are not UTF-8".to_string())?;
-    let lines = info.lines().filter(|line| !line.trim().is_empty());
-    let pairs: Result<HashMap<_, _>, _> = lines
-        .map(|line| line.split_once('=').ok_or_else(|| format!("setting line '{line}' has no '='")))
-        .collect();
-    let info = Info(pairs?);
+pub fn read_terms(info: &Stated) -> Result<Terms, String> {
     let fields: Vec<&str> = info.text("Report.Fields").split(',').collect();
     let field = |name: &str| fields.iter().position(|f| *f == name);
     let meaning = |name: &str| match info.text("Domain.ReportX0") == name {
--- /dev/null
+++ b/crates/sagetrail/src/clients.rs
@@ -0,0 +1,294 @@
+//! The clients' side, and the runners' call-backs, which come to the same address.
+use crate::exchange::{number, Order, Tray, Word};
+use crate::http::{next, Fault, Method, Reply, Request, Serving};
+use futures_util::SinkExt;
+use sagetrail_policy::Job;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch, Notify, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+type Wire = Framed<TcpStream, Serving>;
+
+/// An idle connection is kept this long: longer than clients pause, short of for ever.
+const IDLE_S: f64 = 75.0;
+/// A request once begun must be whole after this, an answer written: many times a slow client's need.
+const SLOW_S: f64 = 5.0;
+/// Time for what travels between a client and here, out of its deadline.
+const WAY_S: f64 = 0.01;
+
+/// What all client connections share.
+pub struct Door {
+    pub tray: Tray,
+    pub categories: Vec<String>,
+    pub expiries: Vec<f64>,
+    /// Rises to true when the dispatcher is to end.
+    pub closing: watch::Receiver<bool>,
+    /// How many connections there may be, and how many more to turn work away on.
+    pub most: usize,
+    pub more: usize,
+    pub open: Cell<usize>,
+    /// Connections with a request in hand.
+    pub busy: Cell<usize>,
+    /// The idle ones, longest idle first; ringing one closes it.
+    pub idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    pub stamps: Cell<u64>,
+}
+
+impl Door {
+    fn stamp(&self) -> u64 {
+        self.stamps.set(self.stamps.get() + 1);
+        self.stamps.get()
+    }
+}
+
+/// Counts something as long as it lives, also through a panic.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(cell: &'a Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Counted(cell)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub async fn listen(listener: TcpListener, door: Rc<Door>) {
+    let places = Arc::new(Semaphore::new(door.most + door.more));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Guards against clients that keep many connections: the longest idle makes room.
+                if door.open.get() >= door.most {
+                    if let Some((_, longest)) = door.idle.borrow_mut().pop_first() {
+                        longest.notify_one();
+                    }
+                }
+                let door = door.clone();
+                spawn_local(async move {
+                    let _place = place;
+                    let _open = Counted::new(&door.open);
+                    let _ = connection(stream, &door).await;
+                });
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
+    stream.set_nodelay(true)?;
+    let mut wire = Framed::new(stream, Serving::default());
+    let mut ahead = None;
+    loop {
+        let read = match ahead.take() {
+            Some(request) => Some(Ok(request)),
+            None => request(&mut wire, door).await,
+        };
+        let (mut reply, keep) = match read {
+            None => return Ok(()),
+            Some(Ok(request)) => {
+                let _busy = Counted::new(&door.busy);
+                let keep = request.keep;
+                let bare = request.method == Method::Head;
+                let Some(reply) = answer(request, &mut wire, &mut ahead, door).await else { return Ok(()) };
+                (Reply { bare, ..reply }, keep)
+            }
+            Some(Err(fault)) => {
+                let status = match fault {
+                    Fault::BodyTooLong => 413,
+                    Fault::HeadTooLong => 431,
+                    Fault::Malformed(_) => 400,
+                    Fault::Broken(_) | Fault::Answer(_) => return Err(fault),
+                };
+                (Reply::new(status, format!("{fault}\n")), false)
+            }
+        };
+        let _busy = Counted::new(&door.busy);
+        reply.close = !keep || *door.closing.borrow() || door.open.get() > door.most;
+        let close = reply.close;
+        let sent = timeout(Duration::from_secs_f64(SLOW_S), wire.send(reply)).await;
+        sent.map_err(|_| Fault::Malformed("the client does not read"))??;
+        if close {
+            return linger(wire).await;
+        }
+    }
+}
+
+/// Waits for the next request; `None` when the connection is to end without a word.
+async fn request(wire: &mut Wire, door: &Door) -> Option<Result<Request, Fault>> {
+    let begun = !wire.read_buffer().is_empty() || !wire.codec().between();
+    if !begun {
+        let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
+        door.idle.borrow_mut().insert(stamp, close.clone());
+        let mut closing = door.closing.clone();
+        let come = tokio::select! {
+            biased;
+            ready = wire.get_ref().readable() => ready.is_ok(),
+            () = close.notified() => false,
+            _ = closing.wait_for(|closing| *closing) => false,
+            () = sleep(Duration::from_secs_f64(IDLE_S)) => false,
+        };
+        door.idle.borrow_mut().remove(&stamp);
+        if !come {
+            return None;
+        }
+    }
+    match timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await {
+        Ok(read) => read,
+        Err(_) => Some(Err(Fault::Malformed("the request does not come to its end"))),
+    }
+}
+
+/// Ends a connection so that the answer is still read: says the end, then reads what was under way.
+async fn linger(wire: Wire) -> Result<(), Fault> {
+    let mut stream = wire.into_inner();
+    stream.shutdown().await?;
+    let mut rest = [0; 1024];
+    let read = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
+    let _ = timeout(Duration::from_millis(500), read).await;
+    Ok(())
+}
+
+/// The answer to a request; `None` if its client has gone.
+async fn answer(
+    request: Request, wire: &mut Wire, ahead: &mut Option<Request>, door: &Door,
+) -> Option<Reply> {
+    let path = request.target.split('?').next().unwrap_or_default();
+    let looks = matches!(request.method, Method::Get | Method::Head);
+    Some(match path {
+        "/health/ready" if looks && *door.closing.borrow() => Reply::new(503, "ending\n"),
+        "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
+        "/_jobs/news" if request.method == Method::Post => {
+            match serde_json::from_slice::<Word>(&request.body) {
+                Ok(word) => {
+                    door.tray.call(move |exchange| exchange.word(word)).await;
+                    Reply::new(204, "")
+                }
+                Err(error) => Reply::new(400, format!("{error}\n")),
+            }
+        }
+        "/health/ready" | "/health/live" | "/_jobs/news" => Reply::new(405, "not with this method\n"),
+        _ if request.method != Method::Post => Reply::new(405, "jobs come by POST\n"),
+        _ if door.open.get() > door.most => {
+            Reply { come_back_s: 1.0, ..Reply::new(503, "too many connections\n") }
+        }
+        _ => match job(&request, door) {
+            Ok((job, wait_s)) => return work(request, job, wait_s, wire, ahead, door).await,
+            Err((status, why)) => Reply::new(status, format!("{why}\n")),
+        },
+    })
+}
+
+/// A number and a unit: milliseconds or microseconds.
+fn seconds(text: &str) -> Option<f64> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number: f64 = number.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)?;
+    match unit {
+        "m" => Some(number / 1e3),
+        "u" => Some(number / 1e6),
+        _ => None,
+    }
+}
+
+/// The work item that a request asks for, and how long its client waits.
+fn job(request: &Request, door: &Door) -> Result<(Job, f64), (u16, &'static str)> {
+    let id = request.id.as_deref().ok_or((400, "no Req-Id"))?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
+    if id.is_empty() || id.len() > 128 || !id.bytes().all(plain) {
+        return Err((400, "this Req-Id cannot stand in a path"));
+    }
+    let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+    let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    let name = request.category.as_deref().unwrap_or(first);
+    if name != first {
+        return Err((400, "Req-Kind and the path name different categories"));
+    }
+    let category = door.categories.iter().position(|c| c == name).ok_or((404, "unknown category"))?;
+    let wait_s = match &request.deadline {
+        Some(text) => seconds(text).ok_or((400, "Req-Deadline cannot be read"))?,
+        None => door.expiries[category],
+    };
+    let key = query.split('&').find_map(|pair| pair.strip_prefix("key=")).filter(|key| !key.is_empty());
+    let (mut slots, mut memory) = (1.0, 0.0);
+    for pair in request.extra.iter().flat_map(|extra| extra.split(',')).filter(|pair| !pair.trim().is_empty())
+    {
+        let (name, figure) = pair.split_once('=').ok_or((400, "Req-Extra cannot be read"))?;
+        let figure: f64 = figure.trim().parse().map_err(|_| (400, "Req-Extra cannot be read"))?;
+        if !(figure.is_finite() && figure >= 0.0) {
+            return Err((400, "Req-Extra cannot be read"));
+        }
+        match name.trim() {
+            "slots" => slots = figure,
+            "memory" => memory = figure,
+            _ => {}
+        }
+    }
+    let job = Job {
+        category,
+        key: key.map_or(0, |key| (number(key) >> 32) as u32).max(key.is_some() as u32),
+        expiry: 0.0,
+        hint: None,
+        slots,
+        memory,
+        repeat: request.repeat,
+    };
+    Ok((job, (wait_s - WAY_S).max(0.0)))
+}
+
+/// Tells the exchange when a client leaves, also through a panic.
+struct Waiting<'a> {
+    tray: &'a Tray,
+    id: Option<Rc<str>>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.tray.put(move |exchange| exchange.left(&id));
+        }
+    }
+}
+
+/// Hands a work item in and waits for its answer, reading on: a client that closes has left.
+async fn work(
+    request: Request, job: Job, wait_s: f64, wire: &mut Wire, ahead: &mut Option<Request>, door: &Door,
+) -> Option<Reply> {
+    let id: Rc<str> = request.id.unwrap_or_default().into();
+    let order = Order { id: id.clone(), target: request.target, body: request.body };
+    let mut waiting = Waiting { tray: &door.tray, id: Some(id) };
+    let (tell, mut told) = oneshot::channel();
+    door.tray.call(move |exchange| exchange.take(order, job, wait_s, tell)).await;
+    loop {
+        tokio::select! {
+            biased;
+            reply = &mut told => {
+                waiting.id = None;
+                return Some(reply.unwrap_or_else(|_| Reply::new(502, "written off\n")));
+            }
+            read = next(wire), if ahead.is_none() => match read {
+                Some(Ok(request)) => *ahead = Some(request),
+                _ => {
+                    drop(told);
+                    return None;
+                }
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagetrail/src/exchange.rs
@@ -0,0 +1,532 @@
+//! Where clients and runners meet: one task owns the decisions, turns what happens into calls on them, and
+//! carries out what they ask.
+use crate::http::{Answer, Outgoing, Reply};
+use crate::list::{Life, Member, Told};
+use crate::runners::{self, Broken, Errand, Pool, Runner};
+use bytes::Bytes;
+use sagetrail_policy::{Dispatcher, Host, Job, Listed, News, Outcome, Wi};
+use serde::Deserialize;
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::spawn_local;
+
+/// Seconds since the start, and what Unix time that was.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Clock { start: Instant::now(), unix: unix.map_or(0.0, |unix| unix.as_secs_f64()) }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    pub async fn sleep_until(&self, at: f64) {
+        match Duration::try_from_secs_f64(at.max(0.0)) {
+            Ok(after) => tokio::time::sleep_until((self.start + after).into()).await,
+            Err(_) => pending().await,
+        }
+    }
+}
+
+type Call = Box<dyn FnOnce(&mut Exchange)>;
+
+/// Where the connections lay their calls on the exchange.
+#[derive(Clone)]
+pub struct Tray(mpsc::Sender<Call>);
+
+impl Tray {
+    /// More than there are connections: each lays down one call at a time.
+    const MOST: usize = 4096;
+
+    pub fn new() -> (Tray, mpsc::Receiver<Call>) {
+        let (tray, calls) = mpsc::channel(Tray::MOST);
+        (Tray(tray), calls)
+    }
+
+    pub async fn call(&self, call: impl FnOnce(&mut Exchange) + 'static) {
+        let _ = self.0.send(Box::new(call)).await;
+    }
+
+    /// The same from where nothing can wait.
+    pub fn put(&self, call: impl FnOnce(&mut Exchange) + 'static) {
+        if let Err(mpsc::error::TrySendError::Full(call)) = self.0.try_send(Box::new(call)) {
+            let tray = self.0.clone();
+            spawn_local(async move { drop(tray.send(call).await) });
+        }
+    }
+}
+
+/// A work item's request as it goes on to a runner.
+pub struct Order {
+    pub id: Rc<str>,
+    pub target: String,
+    pub body: Bytes,
+}
+
+/// What a runner tells of a job.
+#[derive(Deserialize, Debug)]
+pub struct Word {
+    pub id: String,
+    pub from: String,
+    #[serde(flatten)]
+    pub state: State,
+}
+
+#[derive(Deserialize, Debug)]
+#[serde(tag = "state", rename_all = "lowercase")]
+pub enum State {
+    Started,
+    Running {
+        #[serde(default)]
+        share: f64,
+    },
+    Done {
+        #[serde(default)]
+        result: String,
+    },
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// A hand-off that is out.
+struct Out {
+    no: u16,
+    runner: usize,
+    drop_at: f64,
+    stop: Option<oneshot::Sender<()>>,
+    whole: Rc<Cell<bool>>,
+    accepted: bool,
+    /// The decisions have called it off.
+    off: bool,
+}
+
+/// A work item in hand.
+struct Taken {
+    serial: u64,
+    order: Order,
+    answer: Option<oneshot::Sender<Reply>>,
+    expiry: f64,
+    made: u16,
+    out: Option<Out>,
+}
+
+/// A work item's hand-off, told apart from all others there ever were.
+#[derive(Clone, Copy)]
+struct Ticket {
+    wi: Wi,
+    serial: u64,
+    no: u16,
+}
+
+/// In place of a hand-off's number in the timers: the work item's own expiry.
+const EXPIRY: u16 = u16::MAX;
+/// A work item unanswered this long past its expiry is answered by the exchange itself.
+const OVERDUE_S: f64 = 0.01;
+
+/// What the decisions ask for is carried out here.
+struct Desk {
+    clock: Clock,
+    now: f64,
+    tray: Tray,
+    pool: Rc<Pool>,
+    ask_list: Rc<Notify>,
+    drain_s: f64,
+    runners: Vec<Rc<Runner>>,
+    places: HashMap<String, usize>,
+    taken: Vec<Option<Taken>>,
+    ids: HashMap<Rc<str>, Wi>,
+    serial: u64,
+    timers: BTreeMap<(u64, u64, u16), Wi>,
+    wake_at: f64,
+    most_held: usize,
+}
+
+pub struct Exchange {
+    dispatcher: Dispatcher,
+    desk: Desk,
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds.max(0.0) * 1e6) as u64
+}
+
+/// A number for a name, the same at every dispatcher (FNV-1a).
+pub fn number(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |n, b| (n ^ b as u64).wrapping_mul(0x100_0000_01b3))
+}
+
+impl Desk {
+    fn taken(&mut self, wi: Wi) -> Option<&mut Taken> {
+        self.taken.get_mut(wi.0 as usize)?.as_mut()
+    }
+
+    /// The hand-off that a ticket names, if it is still out.
+    fn out(&mut self, ticket: Ticket) -> Option<&mut Out> {
+        let taken = self.taken(ticket.wi).filter(|taken| taken.serial == ticket.serial)?;
+        taken.out.as_mut().filter(|out| out.no == ticket.no)
+    }
+
+    fn answer(&mut self, wi: Wi, reply: Reply) {
+        if let Some(answer) = self.taken(wi).and_then(|taken| taken.answer.take()) {
+            // Fails only if the client has gone, and then nothing is owed.
+            let _ = answer.send(reply);
+        }
+    }
+
+    /// Takes a hand-off back: the connection is closed before the runner took it, told after.
+    fn call_off(&mut self, wi: Wi, then: Option<Ticket>) {
+        let until = self.now + 2.0 * self.pool.dial_s;
+        let Some(Taken { order, out: Some(out), .. }) =
+            self.taken.get_mut(wi.0 as usize).and_then(Option::as_mut)
+        else {
+            return;
+        };
+        if !out.accepted {
+            if let Some(stop) = out.stop.take() {
+                let _ = stop.send(());
+            }
+            return;
+        }
+        let give_up = Outgoing::GiveUp { id: order.id.to_string() };
+        let told = move |exchange: &mut Exchange, _| {
+            if let Some(ticket) = then {
+                exchange.ended(ticket, Outcome::Cancelled);
+            }
+        };
+        let runner = self.runners[out.runner].clone();
+        let (errand, stop, _) = Errand::new(&self.tray, give_up, until, told);
+        out.stop = Some(stop);
+        spawn_local(runners::run(self.pool.clone(), runner, errand));
+    }
+}
+
+impl Host for Desk {
+    fn now(&self) -> f64 {
+        self.now
+    }
+
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64) {
+        let (tray, to) = (self.tray.clone(), self.runners[runner].clone());
+        let Some(taken) = self.taken(wi) else { return };
+        let no = taken.made;
+        taken.made += 1;
+        let ticket = Ticket { wi, serial: taken.serial, no };
+        let Order { id, target, body } = &taken.order;
+        let message =
+            Outgoing::Work { target: target.clone(), id: id.to_string(), wait_s: 0.0, body: body.clone() };
+        let came = move |exchange: &mut Exchange, ended| exchange.came_back(ticket, ended);
+        let (errand, stop, whole) = Errand::new(&tray, message, drop_at, came);
+        let stop = Some(stop);
+        taken.out = Some(Out { no, runner, drop_at, stop, whole, accepted: false, off: false });
+        self.timers.insert((micros(drop_at), ticket.serial, no), wi);
+        spawn_local(runners::run(self.pool.clone(), to, errand));
+    }
+
+    fn defer(&mut self, wi: Wi, come_back_s: f64) {
+        self.answer(wi, Reply { come_back_s, ..Reply::new(503, "deferred\n") });
+    }
+
+    fn write_off(&mut self, wi: Wi) {
+        self.answer(wi, Reply::new(502, "written off\n"));
+    }
+
+    fn cancel(&mut self, wi: Wi, ho: u16) {
+        let Some(taken) = self.taken(wi) else { return };
+        let ticket = Ticket { wi, serial: taken.serial, no: ho };
+        if let Some(out) = taken.out.as_mut().filter(|out| out.no == ho) {
+            out.off = true;
+            self.call_off(wi, Some(ticket));
+        }
+    }
+
+    fn forget(&mut self, wi: Wi) {
+        if let Some(taken) = self.taken.get_mut(wi.0 as usize).and_then(Option::take) {
+            self.ids.remove(&taken.order.id);
+            self.timers.remove(&(micros(taken.expiry + OVERDUE_S), taken.serial, EXPIRY));
+        }
+    }
+
+    fn wake(&mut self, in_s: f64) {
+        self.wake_at = self.now + in_s;
+    }
+
+    fn watch(&mut self) {
+        self.ask_list.notify_one();
+    }
+
+    fn tell_peers(&mut self, _: Option<&[u16]>, _: usize, _: u8, _: Option<i8>, _: u32) {
+        // This protocol has no word between dispatchers; the terms say so too.
+    }
+
+    fn log(&mut self, runner: usize, line: &str) {
+        let runner = &self.runners[runner];
+        log::info!("{} ({}) {line}", runner.name, runner.address.get());
+    }
+}
+
+pub struct Setting {
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    pub tray: Tray,
+    pub ask_list: Rc<Notify>,
+    pub drain_s: f64,
+    pub most_held: usize,
+}
+
+impl Exchange {
+    pub fn new(dispatcher: Dispatcher, setting: Setting) -> Self {
+        let Setting { clock, pool, tray, ask_list, drain_s, most_held } = setting;
+        let desk = Desk {
+            clock,
+            now: clock.now(),
+            tray,
+            pool,
+            ask_list,
+            drain_s,
+            runners: Vec::new(),
+            places: HashMap::new(),
+            taken: Vec::new(),
+            ids: HashMap::new(),
+            serial: 0,
+            timers: BTreeMap::new(),
+            wake_at: 0.0,
+            most_held,
+        };
+        Exchange { dispatcher, desk }
+    }
+
+    /// Takes all news at hand, then decides once; until the tray is gone.
+    pub async fn run(mut self, mut calls: mpsc::Receiver<Call>) {
+        loop {
+            let timer = self.desk.timers.first_key_value().map_or(f64::INFINITY, |(at, _)| at.0 as f64 / 1e6);
+            let due = self.desk.wake_at.min(timer);
+            let call = tokio::select! {
+                biased;
+                call = calls.recv() => match call {
+                    Some(call) => Some(call),
+                    None => return,
+                },
+                () = self.desk.clock.sleep_until(due) => None,
+            };
+            self.desk.now = self.desk.clock.now();
+            if let Some(call) = call {
+                self.guarded(call);
+            }
+            while let Ok(call) = calls.try_recv() {
+                self.guarded(call);
+            }
+            self.guarded(Exchange::timers);
+            self.guarded(|exchange| {
+                if exchange.desk.wake_at <= exchange.desk.now {
+                    exchange.desk.wake_at = f64::INFINITY;
+                }
+                exchange.dispatcher.decide(&mut exchange.desk);
+            });
+        }
+    }
+
+    /// Guards against a fault in one call ending the dispatcher: all else in hand is still settled.
+    fn guarded(&mut self, call: impl FnOnce(&mut Exchange)) {
+        if catch_unwind(AssertUnwindSafe(|| call(self))).is_err() {
+            log::error!("a fault in the exchange was contained");
+            self.desk.wake_at = self.desk.now + 0.1;
+        }
+    }
+
+    fn timers(&mut self) {
+        while let Some((&(at, serial, no), &wi)) = self.desk.timers.first_key_value() {
+            if at > micros(self.desk.now) {
+                return;
+            }
+            self.desk.timers.pop_first();
+            let Some(taken) = self.desk.taken(wi).filter(|taken| taken.serial == serial) else { continue };
+            if no == EXPIRY {
+                if taken.answer.is_some() {
+                    log::error!("work item {} was overdue and is written off", taken.order.id);
+                    self.desk.write_off(wi);
+                    wi.left(&mut self.dispatcher, &mut self.desk);
+                }
+            } else if taken.out.as_ref().is_some_and(|out| out.no == no) {
+                self.desk.call_off(wi, None);
+                self.ended(Ticket { wi, serial, no }, Outcome::Timeout);
+            }
+        }
+    }
+
+    // ---- the clients ----
+
+    /// A client hands in a work item and waits for its answer.
+    pub fn take(&mut self, order: Order, job: Job, wait_s: f64, answer: oneshot::Sender<Reply>) {
+        let now = self.desk.now;
+        if self.desk.ids.contains_key(&order.id) {
+            let _ = answer.send(Reply::new(400, "this Req-Id is in hand already\n"));
+            return;
+        }
+        if self.desk.ids.len() >= self.desk.most_held {
+            let _ = answer.send(Reply { come_back_s: 1.0, ..Reply::new(503, "too many in hand\n") });
+            return;
+        }
+        let expiry = now + wait_s;
+        let Some(wi) = self.dispatcher.take(now, Job { expiry, ..job }) else {
+            let _ = answer.send(Reply::new(404, "unknown category\n"));
+            return;
+        };
+        self.desk.serial += 1;
+        let serial = self.desk.serial;
+        self.desk.ids.insert(order.id.clone(), wi);
+        self.desk.timers.insert((micros(expiry + OVERDUE_S), serial, EXPIRY), wi);
+        let place = wi.0 as usize;
+        if self.desk.taken.len() <= place {
+            self.desk.taken.resize_with(place + 1, || None);
+        }
+        self.desk.taken[place] =
+            Some(Taken { serial, order, answer: Some(answer), expiry, made: 0, out: None });
+    }
+
+    /// The client of this work item has closed its connection.
+    pub fn left(&mut self, id: &str) {
+        let Some(&wi) = self.desk.ids.get(id) else { return };
+        // Not the one that was turned away for the same id.
+        let gone = |taken: &&mut Taken| taken.answer.as_ref().is_some_and(oneshot::Sender::is_closed);
+        if let Some(taken) = self.desk.taken(wi).filter(gone) {
+            taken.answer = None;
+            wi.left(&mut self.dispatcher, &mut self.desk);
+        }
+    }
+
+    // ---- the runners ----
+
+    /// What a runner tells, if it is about the hand-off that is out there now.
+    pub fn word(&mut self, word: Word) {
+        let now = self.desk.now;
+        let Some(&wi) = self.desk.ids.get(word.id.as_str()) else { return };
+        let Some(serial) = self.desk.taken(wi).map(|taken| taken.serial) else { return };
+        let Some(out) = self.desk.taken(wi).and_then(|taken| taken.out.as_ref()) else { return };
+        // Guards against news of an earlier hand-off: from another runner, or before this one was written.
+        let (no, runner, whole) = (out.no, out.runner, out.whole.get());
+        if !whole || self.desk.runners[runner].name != word.from {
+            return;
+        }
+        let ticket = Ticket { wi, serial, no };
+        match word.state {
+            State::Started => wi.started(&mut self.dispatcher, now, no),
+            State::Running { share } => wi.progressed(&mut self.dispatcher, now, no, share.clamp(0.0, 1.0)),
+            State::Done { result } => {
+                self.desk.answer(wi, Reply::new(200, result));
+                self.ended(ticket, Outcome::Finished);
+            }
+            State::Failed => self.ended(ticket, Outcome::Error),
+            State::Returned => self.ended(ticket, Outcome::Full),
+            State::Lost => self.ended(ticket, Outcome::Reset),
+        }
+    }
+
+    /// The connection of a hand-off has done its part.
+    fn came_back(&mut self, ticket: Ticket, ended: Result<Answer, Broken>) {
+        let Some(out) = self.desk.out(ticket) else { return };
+        let off = out.off;
+        let outcome = match ended {
+            Ok(Answer { status: 202, .. }) => {
+                out.accepted = true;
+                if off {
+                    self.desk.call_off(ticket.wi, Some(ticket));
+                }
+                return;
+            }
+            Ok(Answer { status: 503 | 504, declined: true, .. }) => Outcome::Full,
+            Ok(_) => Outcome::Error,
+            Err(Broken::Unsent) => Outcome::Moot,
+            Err(Broken::Unreached) => Outcome::NoConnection,
+            Err(Broken::Unanswered) if off => Outcome::Cancelled,
+            Err(Broken::Unanswered) => Outcome::Reset,
+        };
+        self.ended(ticket, outcome);
+    }
+
+    fn ended(&mut self, ticket: Ticket, outcome: Outcome) {
+        let Some(drop_at) = self.desk.out(ticket).map(|out| out.drop_at) else { return };
+        let Ticket { wi, serial, no } = ticket;
+        self.desk.timers.remove(&(micros(drop_at), serial, no));
+        if let Some(taken) = self.desk.taken(wi) {
+            taken.out = None;
+        }
+        let settled = outcome == Outcome::Finished;
+        wi.outcome(&mut self.dispatcher, &mut self.desk, no, outcome, settled, &[]);
+    }
+
+    // ---- the list ----
+
+    pub fn list_failed(&mut self) {
+        self.dispatcher.list_failed(self.desk.now);
+    }
+
+    pub fn listed(&mut self, told: Told) {
+        let news = if told.whole { News::Whole } else { News::Changes };
+        self.apply(told, news);
+    }
+
+    /// The list as it was before the start.
+    pub fn known(&mut self, told: Told) {
+        self.apply(told, News::Cached);
+    }
+
+    fn apply(&mut self, told: Told, news: News) {
+        // Half of the grace: the rest is for what lies between the list's writing and our reading.
+        let shut_at = self.desk.now + 0.5 * self.desk.drain_s;
+        if news != News::Changes {
+            self.desk.runners.iter().for_each(|runner| runner.shut_at.set(runner.shut_at.get().min(shut_at)));
+        }
+        let mut entries = Vec::with_capacity(told.members.len());
+        for member in told.members {
+            if let Some(entry) = self.desk.entry(member, shut_at) {
+                entries.push(entry);
+            }
+        }
+        self.dispatcher.listed(self.desk.now, news, &entries);
+    }
+}
+
+impl Desk {
+    fn entry(&mut self, member: Member, shut_at: f64) -> Option<(usize, Option<Listed>)> {
+        let place = match self.places.get(&member.id) {
+            Some(&place) => place,
+            None => {
+                // One that is gone before it was ever named is nobody.
+                let address = member.address.filter(|_| member.life != Life::Gone)?;
+                self.places.insert(member.id.clone(), self.runners.len());
+                self.runners.push(Runner::new(member.id.clone(), address));
+                self.runners.len() - 1
+            }
+        };
+        let runner = &self.runners[place];
+        if let Some(address) = member.address {
+            if runner.address.replace(address) != address {
+                runner.drop_idle();
+            }
+        }
+        let ready = member.life == Life::Ready;
+        runner.shut_at.set(if ready { f64::INFINITY } else { runner.shut_at.get().min(shut_at) });
+        let listed = Listed {
+            id: number(&member.id),
+            kind: member.kind,
+            born: if member.started > 0.0 { member.started - self.clock.unix } else { f64::NEG_INFINITY },
+            cell: member.cell,
+            zone: member.zone,
+            ready,
+        };
+        Some((place, (member.life != Life::Gone).then_some(listed)))
+    }
+}
--- /dev/null
+++ b/crates/sagetrail/src/main.rs
@@ -0,0 +1,100 @@
+//! The real dispatcher: reads what it is told, binds its address and starts the parts.
+mod clients;
+mod exchange;
+mod http;
+mod list;
+mod logger;
+mod runners;
+mod start;
+
+use clients::Door;
+use exchange::{Clock, Exchange, Setting, Tray};
+use sagetrail_policy::Dispatcher;
+use start::Start;
+use std::cell::{Cell, RefCell};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify, Semaphore};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Descriptors for the program itself: its streams, the runtime's, the listener, the list.
+const SPARE: usize = 24;
+
+async fn serve(start: Start) -> Result<(), String> {
+    let clock = Clock::start();
+    let rest = start.descriptors.saturating_sub(SPARE);
+    if rest < 40 {
+        return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + 40));
+    }
+    let (to_runners, more) = (rest / 4, rest / 16);
+    let listener = TcpListener::bind(start.listen).await;
+    let listener = listener.map_err(|error| format!("listening on {}: {error}", start.listen))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let (tray, calls) = Tray::new();
+    let ask_list = Rc::new(Notify::new());
+    let pool = Rc::new(runners::Pool {
+        clock,
+        permits: Arc::new(Semaphore::new(to_runners)),
+        dial_s: start.dial_s,
+        idle_s: 0.5 * start.runner_idle_s,
+    });
+    let watch = list::Watch {
+        at: start.list_at,
+        names: start.names,
+        tray: tray.clone(),
+        ask: ask_list.clone(),
+        after: start.known.generation,
+    };
+    let (close, closing) = watch::channel(false);
+    let door = Rc::new(Door {
+        tray: tray.clone(),
+        categories: start.categories,
+        expiries: start.expiries,
+        closing,
+        most: rest - to_runners - more,
+        more,
+        open: Cell::new(0),
+        busy: Cell::new(0),
+        idle: RefCell::default(),
+        stamps: Cell::new(0),
+    });
+    let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
+    let (drain_s, most_held) = (start.drain_s, start.most_held);
+    let mut exchange = Exchange::new(dispatcher, Setting { clock, pool, tray, ask_list, drain_s, most_held });
+    exchange.known(start.known);
+    log::info!("{} serves on {}", start.name, start.listen);
+    spawn_local(watch.keep());
+    spawn_local(clients::listen(listener, door.clone()));
+    spawn_local(exchange.run(calls));
+    term.recv().await;
+    log::info!("told to end; settling what is in hand");
+    let _ = close.send(true);
+    let told = clock.now();
+    while clock.now() < told + 3.3 && (clock.now() < told + 0.8 || door.busy.get() > 0) {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+fn run() -> Result<(), String> {
+    let page = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no file".to_string())?;
+    let text = std::fs::read_to_string(&page).map_err(|error| format!("{page}: {error}"))?;
+    let start = start::read(&text).map_err(|why| format!("{page}: {why}"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| error.to_string())?;
+    LocalSet::new().block_on(&runtime, serve(start))
+}
+
+fn main() -> ExitCode {
+    logger::start();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("sagetrail: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/sagetrail/src/runners.rs
@@ -0,0 +1,219 @@
+//! The runners' side: connections, and one errand at a time on each.
+use crate::exchange::{Clock, Exchange, Tray};
+use crate::http::{next, Answer, Calling, Outgoing};
+use futures_util::SinkExt;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+type Wire = Framed<TcpStream, Calling>;
+
+/// How far an errand had come when it broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Held back on this side: nothing, or not all of it, was written.
+    Unsent,
+    /// No connection, or it broke before the last byte was written.
+    Unreached,
+    /// Written whole, and no answer came.
+    Unanswered,
+}
+
+/// A runner, as far as sockets go.
+pub struct Runner {
+    pub name: String,
+    pub address: Cell<SocketAddr>,
+    /// From when on no hand-off may begin: it drains or is gone.
+    pub shut_at: Cell<f64>,
+    idle: RefCell<Vec<oneshot::Sender<Errand>>>,
+}
+
+impl Runner {
+    pub fn new(name: String, address: SocketAddr) -> Rc<Self> {
+        let shut_at = Cell::new(f64::INFINITY);
+        Rc::new(Runner { name, address: Cell::new(address), shut_at, idle: RefCell::default() })
+    }
+
+    /// Closes the idle connections: they lead to a process that is no more.
+    pub fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// What all connections to runners share.
+pub struct Pool {
+    pub clock: Clock,
+    pub permits: Arc<Semaphore>,
+    pub dial_s: f64,
+    pub idle_s: f64,
+}
+
+type Tell = Box<dyn FnOnce(&mut Exchange, Result<Answer, Broken>)>;
+
+/// Tells the exchange how an errand ended, exactly once. Guards against a panic or a task dropped on the way:
+/// what it carried is settled by how far it had come.
+struct Ending {
+    tray: Tray,
+    whole: Rc<Cell<bool>>,
+    tell: Option<Tell>,
+}
+
+impl Ending {
+    fn tell(&mut self, ended: Result<Answer, Broken>) {
+        if let Some(tell) = self.tell.take() {
+            self.tray.put(move |exchange| tell(exchange, ended));
+        }
+    }
+
+    fn broken(&self, so_far: Broken) -> Broken {
+        if self.whole.get() {
+            Broken::Unanswered
+        } else {
+            so_far
+        }
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let broken = self.broken(Broken::Unreached);
+        self.tell(Err(broken));
+    }
+}
+
+/// One message to a runner and the wait for its answer.
+pub struct Errand {
+    message: Outgoing,
+    stop: oneshot::Receiver<()>,
+    until: f64,
+    ending: Ending,
+}
+
+impl Errand {
+    /// The errand; what stops it; and whether it has been written whole.
+    pub fn new(
+        tray: &Tray, message: Outgoing, until: f64,
+        tell: impl FnOnce(&mut Exchange, Result<Answer, Broken>) + 'static,
+    ) -> (Errand, oneshot::Sender<()>, Rc<Cell<bool>>) {
+        let (stopper, stop) = oneshot::channel();
+        let whole = Rc::new(Cell::new(false));
+        let ending = Ending { tray: tray.clone(), whole: whole.clone(), tell: Some(Box::new(tell)) };
+        (Errand { message, stop, until, ending }, stopper, whole)
+    }
+
+    /// Writes the message and waits for the answer; true if the connection can carry another.
+    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, clock: &Clock) -> bool {
+        let now = clock.now();
+        let mut message = self.message.clone();
+        if let Outgoing::Work { wait_s, .. } = &mut message {
+            // Guards against a runner told to drain while its connection was coming up.
+            if now >= runner.shut_at.get() {
+                self.ending.tell(Err(Broken::Unreached));
+                return true;
+            }
+            *wait_s = self.until - now;
+        }
+        let whole = self.ending.whole.clone();
+        let exchanged = async {
+            wire.send(message).await.map_err(|_| Broken::Unreached)?;
+            whole.set(true);
+            match next(wire).await {
+                Some(Ok(answer)) => Ok(answer),
+                _ => Err(Broken::Unanswered),
+            }
+        };
+        let ended = tokio::select! {
+            biased;
+            ended = exchanged => ended,
+            () = stopped(&mut self.stop) => Err(self.ending.broken(Broken::Unsent)),
+            () = clock.sleep_until(self.until) => Err(self.ending.broken(Broken::Unsent)),
+        };
+        let keep = ended.as_ref().is_ok_and(|answer| answer.keep);
+        self.ending.tell(ended);
+        keep
+    }
+}
+
+/// Ends when the exchange says stop; never, if it has lost interest.
+async fn stopped(stop: &mut oneshot::Receiver<()>) {
+    if stop.await.is_err() {
+        pending().await
+    }
+}
+
+/// Takes an errand to a runner: on an idle connection, the last used first, or on a new one.
+pub async fn run(pool: Rc<Pool>, runner: Rc<Runner>, mut errand: Errand) {
+    loop {
+        let idle = runner.idle.borrow_mut().pop();
+        let Some(idle) = idle else { return dial(pool, runner, errand).await };
+        match idle.send(errand) {
+            Ok(()) => return,
+            Err(back) => errand = back,
+        }
+    }
+}
+
+async fn dial(pool: Rc<Pool>, runner: Rc<Runner>, mut errand: Errand) {
+    let opened = async {
+        let permit = pool.permits.clone().acquire_owned().await.ok()?;
+        let stream = TcpStream::connect(runner.address.get()).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some((stream, permit))
+    };
+    let opened = tokio::select! {
+        biased;
+        () = stopped(&mut errand.stop) => Err(Broken::Unsent),
+        opened = timeout(Duration::from_secs_f64(pool.dial_s), opened) => match opened {
+            Ok(Some(opened)) => Ok(opened),
+            _ => Err(Broken::Unreached),
+        },
+    };
+    match opened {
+        Ok((stream, permit)) => {
+            let wire = Framed::new(stream, Calling::new(runner.address.get().to_string()));
+            serve(pool, runner, wire, permit, errand).await;
+        }
+        Err(broken) => errand.ending.tell(Err(broken)),
+    }
+}
+
+/// A connection's life: errand after errand, idle in between.
+async fn serve(
+    pool: Rc<Pool>, runner: Rc<Runner>, mut wire: Wire, _permit: OwnedSemaphorePermit, mut errand: Errand,
+) {
+    let address = runner.address.get();
+    while errand.carry(&mut wire, &runner, &pool.clock).await && address == runner.address.get() {
+        drop(errand);
+        let (idle, mut rest) = oneshot::channel();
+        {
+            let mut resting = runner.idle.borrow_mut();
+            resting.retain(|other| !other.is_closed());
+            resting.push(idle);
+        }
+        // Read while idle, so that a close by the runner is seen at once.
+        errand = tokio::select! {
+            biased;
+            // An errand already laid in goes elsewhere: nothing of it has been written.
+            _ = next(&mut wire) => {
+                rest.close();
+                if let Ok(errand) = rest.try_recv() {
+                    spawn_local(run(pool, runner.clone(), errand));
+                }
+                return;
+            }
+            again = &mut rest => match again {
+                Ok(errand) => errand,
+                Err(_) => return,
+            },
+            () = sleep(Duration::from_secs_f64(pool.idle_s)) => return,
+        };
+    }
+}
--- /dev/null
+++ b/crates/sagetrail/src/start.rs
@@ -0,0 +1,128 @@
+//! What a dispatcher is told at its start.
+use crate::list::Told;
+use sagetrail_policy::{read_terms, Stated, Terms};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct Page {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<Limits>,
+    known: Option<Value>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub list_at: SocketAddr,
+    pub seed: u64,
+    pub descriptors: usize,
+    pub known: Told,
+    pub terms: Terms,
+    pub categories: Vec<String>,
+    /// How long a client of each waits at the most, where it does not say.
+    pub expiries: Vec<f64>,
+    pub names: Names,
+    pub dial_s: f64,
+    pub runner_idle_s: f64,
+    pub drain_s: f64,
+    pub most_held: usize,
+}
+
+/// The places of the zones and kinds that the list names.
+#[derive(Clone, Default)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// Nested values as paths, the way the simulator writes them.
+fn flatten(path: &str, value: &Value, into: &mut Stated) {
+    let below = |leaf: &str| if path.is_empty() { leaf.to_string() } else { format!("{path}.{leaf}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(leaf, value)| flatten(&below(leaf), value, into)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            into.state(&below("count"), &items.len().to_string());
+            items.iter().enumerate().for_each(|(n, item)| flatten(&below(&n.to_string()), item, into));
+        }
+        Value::Array(items) => {
+            let words: Vec<String> = items.iter().map(plain).collect();
+            into.state(path, &words.join(","));
+        }
+        value => into.state(path, &plain(value)),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.replace(',', "_"),
+        Value::Null => String::new(),
+        value => value.to_string(),
+    }
+}
+
+fn strings(value: &Value) -> Vec<String> {
+    let items = value.as_array().into_iter().flatten();
+    items.map(|item| item.as_str().unwrap_or_default().to_string()).collect()
+}
+
+fn address(said: Option<String>, variable: &str, what: &str) -> Result<SocketAddr, String> {
+    let text = said.or_else(|| std::env::var(variable).ok()).ok_or_else(|| format!("no {what} is given"))?;
+    text.parse().map_err(|_| format!("{what} '{text}' is not an address and port"))
+}
+
+pub fn read(text: &str) -> Result<Start, String> {
+    let page: Page = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    if !page.settings.is_object() {
+        return Err("settings are not an object".to_string());
+    }
+    let mut stated = Stated::default();
+    flatten("", &page.settings, &mut stated);
+    let mut terms = read_terms(&stated)?;
+    if terms.categories.is_empty() {
+        return Err("settings name no category".to_string());
+    }
+    // This protocol has one way to the list, whatever the deployment's was: a watch. And no word between peers.
+    terms.asks_for_list = true;
+    terms.peers = false;
+    if terms.must_ask_s <= 0.0 {
+        terms.must_ask_s = 10.0;
+    }
+    let names = Names { zones: strings(&page.settings["Dcs"]), kinds: strings(&page.settings["Kinds"]) };
+    let of = |leaf: &str, n: usize| format!("Categories.{n}.{leaf}");
+    let count = terms.categories.len();
+    let categories = (0..count).map(|n| stated.text(&of("Name", n)).to_string()).collect();
+    let expiries: Result<_, _> = (0..count).map(|n| stated.seconds(&of("ExpiryUs", n))).collect();
+    let or = |said: f64, usual: f64| if said > 0.0 { said } else { usual };
+    let seed = page.seed.unwrap_or_default();
+    let known = match page.known {
+        Some(known) => Told::read(known, &names).map_err(|why| format!("known: {why}"))?,
+        None => Told::default(),
+    };
+    Ok(Start {
+        name: page.name.unwrap_or_else(|| "sagetrail".to_string()),
+        listen: address(page.listen, "RELAY_LISTEN", "listen")?,
+        list_at: address(page.discovery, "RELAY_DISCOVERY", "discovery")?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed '{seed}' is not a number"))?,
+        descriptors: page.limits.and_then(|limits| limits.sockets).unwrap_or(1024),
+        known,
+        terms,
+        categories,
+        expiries: expiries?,
+        names,
+        dial_s: or(stated.seconds("Limits.DialTimeoutUs")?, 0.25),
+        runner_idle_s: or(stated.seconds("Limits.ConnIdleUs")?, 10.0),
+        drain_s: stated.seconds("Safety.StopSendingWithinUs")?,
+        most_held: (or(stated.number("Limits.MostHeld")?, 10_000.0)) as usize,
+    })
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,7 +1,6 @@
 //! The instances of one process: records become calls on their dispatchers, and answers become records.
-use crate::decode;
 use crate::frame::{Batch, Fields, Reply, ENTRY};
-use sagetrail_policy::{Dispatcher, Host, Job, Listed, News, Outcome, Wi};
+use sagetrail_policy::{read_terms, Dispatcher, Host, Job, Listed, News, Outcome, Stated, Wi};
 use std::collections::HashMap;
 
 type Address = [u8; 6];
@@ -144,7 +143,7 @@
         let (code, instance) = (record.u8(0), record.u16(1));
         match code {
             10 => {
-                let terms = decode::terms(batch.tail(record, 11, 1)?)?;
+                let terms = read_terms(&stated(batch.tail(record, 11, 1)?)?)?;
                 let dispatcher = Dispatcher::new(terms, record.u64(3), now);
                 if self.instances.len() <= instance as usize {
                     self.instances.resize_with(instance as usize + 1, || None);
@@ -260,6 +259,18 @@
     }
 }
 
+/// The `Info` of an instance's start: a path=value pair a line.
+fn stated(info: &[u8]) -> Result<Stated, String> {
+    let info = std::str::from_utf8(info).map_err(|_| "settings are not UTF-8".to_string())?;
+    let mut stated = Stated::default();
+    for line in info.lines().filter(|line| !line.trim().is_empty()) {
+        let (path, value) =
+            line.split_once('=').ok_or_else(|| format!("setting line '{line}' has no '='"))?;
+        stated.state(path, value);
+    }
+    Ok(stated)
+}
+
 fn entry(entry: Fields) -> (Address, Option<Listed>) {
     let born = match entry.u64(1) {
         0 => f64::NEG_INFINITY,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts sagetrail's decisions on the simulator's wire: standard input in, standard output out.
-mod decode;
 mod frame;
 mod host;
 
