--- /dev/null
+++ b/crates/sagetrail/tests/sockets.rs
@@ -0,0 +1,360 @@
+//! Stories of the program on its sockets.
+mod stage;
+use stage::*;
+use std::net::TcpStream;
+use std::time::Instant;
+
+#[test]
+fn a_job_goes_to_a_runner_and_its_result_comes_back() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    let handed = stage.runners[0].next();
+    assert_eq!(handed.message.first, "POST /rerun?key=7f3a HTTP/1.1");
+    assert_eq!((handed.message.header("req-id"), handed.message.body.as_str()), (Some(id.as_str()), "waves"));
+    let wait = handed.message.header("req-deadline").unwrap().strip_suffix('m').unwrap();
+    assert!((3000..=4000).contains(&wait.parse::<u32>().unwrap()));
+    handed.take();
+    assert_eq!(stage.news(&id, "s-0", r#""started""#), 204);
+    assert_eq!(stage.news(&id, "s-0", r#""running","share":0.4"#), 204);
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"calm \"sea\"""#), 204);
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "calm \"sea\""));
+    // Both connections serve again.
+    client.hand_in("rerun", "4000m");
+    stage.runners[0].next();
+    assert_eq!(stage.runners[0].connections(), 1);
+}
+
+#[test]
+fn news_may_come_before_the_202_and_twice() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    let handed = stage.runners[0].next();
+    assert_eq!(stage.news(&id, "s-0", r#""started""#), 204);
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"a""#), 204);
+    assert_eq!(client.answer().body, "a");
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"b""#), 204);
+    handed.take();
+    assert_eq!(stage.news(&id, "s-0", r#""lost""#), 204);
+    let id = client.hand_in("rerun", "4000m");
+    stage.runners[0].next().take();
+    stage.news(&id, "s-0", r#""done","result":"c""#);
+    assert_eq!(client.answer().body, "c");
+    assert_eq!(stage.runners[0].connections(), 1, "the first connection was kept for the second");
+}
+
+#[test]
+fn news_from_another_runner_than_the_hand_offs_means_nothing() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    stage.runners[0].next().take();
+    assert_eq!(stage.news(&id, "s-9", r#""done","result":"stray""#), 204);
+    assert_eq!(stage.news("feed", "s-0", r#""failed""#), 204);
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"own""#), 204);
+    assert_eq!(client.answer().body, "own");
+}
+
+/// Hands in a job, lets the first runner that gets it do something, and says whether the other gets it next
+/// and what becomes of it.
+fn after(category: &str, first: impl Fn(&Stage, &Handed, &str, &str)) -> Result<Message, Message> {
+    let stage = Stage::start(2);
+    let mut client = stage.client();
+    let id = client.hand_in(category, "3000m");
+    let (a, b) = (&stage.runners[0], &stage.runners[1]);
+    let (handed, from, other) = match a.poll(400) {
+        Some(handed) => (handed, a, b),
+        None => (b.next(), b, a),
+    };
+    first(&stage, &handed, &id, &from.name);
+    match other.poll(600) {
+        Some(again) => {
+            again.take();
+            stage.news(&id, &other.name, r#""done","result":"second""#);
+            Ok(client.answer())
+        }
+        None => Err(client.answer()),
+    }
+}
+
+#[test]
+fn what_never_ran_goes_elsewhere_even_if_exclusive() {
+    for category in ["rerun", "once"] {
+        let declined = |_: &Stage, handed: &Handed, _: &str, _: &str| {
+            handed.answer("503 Service Unavailable", "Srv-Declined: 1\r\n");
+        };
+        assert_eq!(after(category, declined).unwrap().body, "second");
+        let returned = |stage: &Stage, handed: &Handed, id: &str, from: &str| {
+            handed.take();
+            stage.news(id, from, r#""returned""#);
+        };
+        assert_eq!(after(category, returned).unwrap().body, "second");
+    }
+}
+
+#[test]
+fn what_may_have_run_goes_elsewhere_only_if_rerunnable() {
+    let broken = |_: &Stage, handed: &Handed, _: &str, _: &str| handed.close();
+    let error = |_: &Stage, handed: &Handed, _: &str, _: &str| handed.answer("500 Oops", "");
+    let shy = |_: &Stage, handed: &Handed, _: &str, _: &str| handed.answer("503 Busy", "");
+    let lost = |stage: &Stage, handed: &Handed, id: &str, from: &str| {
+        handed.take();
+        stage.news(id, from, r#""lost""#);
+    };
+    let failed = |stage: &Stage, handed: &Handed, id: &str, from: &str| {
+        stage.news(id, from, r#""failed""#);
+        handed.take();
+    };
+    let all: [&dyn Fn(&Stage, &Handed, &str, &str); 5] = [&broken, &error, &shy, &lost, &failed];
+    for first in all {
+        assert_eq!(after("rerun", first).unwrap().body, "second");
+        assert_eq!(after("once", first).unwrap_err().status(), 502, "written off");
+    }
+}
+
+#[test]
+fn a_runner_that_refuses_connections_costs_no_work() {
+    let stage = Stage::start(1);
+    let watch = stage.list.watch();
+    watch.tell(42, false, &[entry("s-dead", free(), "Ready", 0)]);
+    pause(50);
+    for _ in 0..6 {
+        let mut client = stage.client();
+        let id = client.hand_in("once", "4000m");
+        stage.runners[0].next().take();
+        stage.news(&id, "s-0", r#""done","result":"a""#);
+        assert_eq!(client.answer().status(), 200);
+    }
+}
+
+#[test]
+fn a_client_that_closes_has_left() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    client.hand_in("rerun", "9000m");
+    let handed = stage.runners[0].next();
+    drop(client);
+    assert!(handed.is_closed(), "before the 202 the connection is closed");
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "9000m");
+    stage.runners[0].next().take();
+    pause(50);
+    drop(client);
+    assert_eq!(stage.runners[0].next().message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+}
+
+#[test]
+fn a_hand_off_is_dropped_and_written_off_when_its_client_gives_up() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let start = Instant::now();
+    let id = client.hand_in("once", "600m");
+    stage.runners[0].next().take();
+    assert_eq!(client.answer().status(), 502);
+    assert!((500..670).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+    assert_eq!(stage.runners[0].next().message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+}
+
+#[test]
+fn what_no_runner_can_take_is_deferred_and_told_when_to_come_back() {
+    let stage = Stage::start(1);
+    stage.list.watch().tell(42, true, &[]);
+    pause(50);
+    let mut client = stage.client();
+    client.hand_in("once", "4000m");
+    let answer = client.answer();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").unwrap().parse::<f64>().unwrap() > 0.0);
+}
+
+#[test]
+fn a_draining_runner_gets_nothing_new_and_what_it_has_is_awaited() {
+    let stage = Stage::start(2);
+    let (a, b) = (&stage.runners[0], &stage.runners[1]);
+    let watch = stage.list.watch();
+    assert!(watch.asked.starts_with("GET /registry/instances?stream=1&index=41 "), "{}", watch.asked);
+    watch.tell(42, false, &[b.entry("Terminating", 0)]);
+    pause(50);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    a.next().take();
+    watch.tell(43, false, &[a.entry("Terminating", 0), b.entry("Ready", 0)]);
+    pause(50);
+    let mut other = stage.client();
+    other.hand_in("rerun", "4000m");
+    b.next();
+    stage.news(&id, "s-0", r#""done","result":"kept""#);
+    assert_eq!(client.answer().body, "kept");
+    a.nothing(100);
+}
+
+#[test]
+fn an_address_may_change_and_a_name_stays() {
+    let stage = Stage::start(1);
+    let moved = Runner::start("s-0");
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    stage.runners[0].next().take();
+    stage.list.watch().tell(42, false, &[moved.entry("Ready", 0)]);
+    pause(50);
+    stage.news(&id, "s-0", r#""done","result":"a""#);
+    assert_eq!(client.answer().body, "a");
+    client.hand_in("rerun", "4000m");
+    moved.next();
+}
+
+#[test]
+fn a_watch_that_ends_or_falls_silent_is_opened_again() {
+    let stage = Stage::start(1);
+    let watch = stage.list.watch();
+    watch.tell(44, false, &[]);
+    pause(50);
+    drop(watch);
+    let silent = stage.list.watch();
+    assert!(silent.asked.contains("index=44 "), "{}", silent.asked);
+    let start = Instant::now();
+    stage.list.watch().tell(45, true, &[]);
+    assert!(start.elapsed().as_secs() < 6, "a drain counts as told after 6 s");
+    pause(50);
+    let mut client = stage.client();
+    client.hand_in("rerun", "4000m");
+    assert_eq!(client.answer().status(), 503, "the whole list names no runner any more");
+}
+
+#[test]
+fn a_bad_line_of_the_list_is_passed_over() {
+    let stage = Stage::start(1);
+    let watch = stage.list.watch();
+    watch.say("what is this");
+    watch.say(r#"{"generation":"x"}"#);
+    watch.tell(43, false, &[r#"{"instanceId":"s-1"}"#.to_string(), stage.runners[0].entry("Gone", 0)]);
+    pause(50);
+    let mut client = stage.client();
+    client.hand_in("rerun", "4000m");
+    assert_eq!(client.answer().status(), 503, "the good entry counts");
+    drop(watch);
+    assert!(stage.list.watch().asked.contains("index=41 "), "asked again from before the flaw");
+}
+
+#[test]
+fn a_dispatcher_told_to_end_settles_what_it_has() {
+    let mut stage = Stage::start(1);
+    let mut idle = stage.client();
+    idle.send("GET /health/ready HTTP/1.1\r\n\r\n");
+    assert_eq!(idle.answer().status(), 200);
+    let (mut quick, mut stuck) = (stage.client(), stage.client());
+    let id = quick.hand_in("rerun", "9000m");
+    stage.runners[0].next().take();
+    stuck.hand_in("rerun", "9000m");
+    stage.runners[0].next().take();
+    let start = Instant::now();
+    stage.term();
+    assert!(idle.read().is_none(), "idle connections are shut");
+    let mut late = stage.client();
+    late.hand_in("once", "9000m");
+    stage.news(&id, "s-0", r#""done","result":"a""#);
+    let answer = quick.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let handed = stage.runners[0].next();
+    handed.take();
+    assert_eq!(stuck.answer().status(), 503, "it may run again elsewhere");
+    assert_eq!(late.answer().status(), 502);
+    let (code, log) = stage.ended();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(start.elapsed().as_millis() < 3600, "before it is killed");
+}
+
+#[test]
+fn bad_requests_are_refused_and_touch_nothing_else() {
+    let stage = Stage::start(1);
+    let mut bystander = stage.client();
+    let id = bystander.hand_in("rerun", "6000m");
+    stage.runners[0].next().take();
+    let job = "POST /rerun HTTP/1.1\r\nReq-Id: ab\r\nReq-Kind: rerun\r\n";
+    let long = "x".repeat(20_000);
+    let cases = [
+        ("no request at all\r\n\r\n".to_string(), 400),
+        (format!("{job}Content-Length: -1\r\n\r\n"), 400),
+        (format!("{job}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"), 400),
+        (format!("{job}Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400),
+        (format!("{job}Req-Deadline: soon\r\n\r\n"), 400),
+        (format!("{job}Req-Deadline: 400m\r\nReq-Extra: slots=none\r\n\r\n"), 400),
+        (job.replace("ab", "a/b") + "\r\n", 400),
+        (format!("POST /rerun HTTP/1.1\r\nReq-Id: {id}\r\n\r\n"), 400),
+        ("POST /rerun HTTP/1.1\r\n\r\n".to_string(), 400),
+        (job.replace("Kind: rerun", "Kind: once") + "\r\n", 400),
+        ("POST /nothing HTTP/1.1\r\nReq-Id: ab\r\nReq-Deadline: 400m\r\n\r\n".to_string(), 404),
+        ("GET /rerun HTTP/1.1\r\nReq-Id: ab\r\n\r\n".to_string(), 405),
+        (format!("{job}Content-Length: 70000\r\n\r\n"), 413),
+        (format!("{job}Transfer-Encoding: chunked\r\n\r\n11170\r\n"), 413),
+        (format!("{job}X-Long: {long}\r\n\r\n"), 431),
+    ];
+    for (text, status) in cases {
+        let answer = stage.client().send(&text).answer();
+        assert_eq!(answer.status(), status, "{} to {text}", answer.body);
+    }
+    for body in ["{", "[]", r#"{"id":"a","from":"s-0"}"#, r#"{"id":"a","from":"s-0","state":"odd"}"#] {
+        assert_eq!(stage.post(body), 400, "{body}");
+    }
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"fine""#), 204);
+    assert_eq!(bystander.answer().body, "fine");
+}
+
+#[test]
+fn a_chunked_job_and_one_sent_byte_by_byte_are_jobs_like_any() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let text = "POST /rerun HTTP/1.1\r\nReq-Id: ab\r\nReq-Deadline: 4000000u\r\n\
+                Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    text.chars().for_each(|c| drop(client.send(&c.to_string())));
+    let handed = stage.runners[0].next();
+    assert_eq!((handed.message.body.as_str(), handed.message.header("content-length")), ("abcde", Some("5")));
+}
+
+#[test]
+fn many_connections_never_use_up_the_descriptors() {
+    let mut stage = Stage::with(1, 64);
+    let idle: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(stage.at).unwrap()).collect();
+    pause(100);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "6000m");
+    stage.runners[0].next().take();
+    let mut turned_away = 0;
+    let mut held: Vec<Client> = Vec::new();
+    for _ in 0..40 {
+        held.push(stage.client());
+        held.last_mut().unwrap().hand_in("rerun", "3000m");
+        pause(2);
+    }
+    for client in &mut held {
+        turned_away += client.read().is_some_and(|answer| answer.status() == 503) as usize;
+    }
+    assert!(turned_away > 0);
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"fine""#), 204);
+    assert_eq!(client.answer().body, "fine");
+    drop(idle);
+    stage.term();
+    let (code, log) = stage.ended();
+    assert_eq!(code, Some(0));
+    assert!(!log.contains("could not be accepted"), "{log}");
+}
+
+#[test]
+fn a_bad_page_at_the_start_ends_with_one_plain_line() {
+    let good = page(free(), free(), 1024, &[]);
+    let cases = [
+        ("{".to_string(), "EOF"),
+        (good.replace("read_like", "sometimes"), "sometimes"),
+        (good.replace(r#""seed":"8c"#, r#""seed":"zz"#), "seed"),
+        (good.replace(r#""sockets":1024"#, r#""sockets":20"#), "too few"),
+        (good.replace(r#""listen":"127"#, r#""listen":"x127"#), "listen"),
+        (good.replace(r#""listen":"127.0.0.1"#, r#""listen":"192.0.2.1"#), "listening on"),
+    ];
+    for (page, with) in cases {
+        let (code, log) = ended(&mut launch(&page));
+        assert_eq!(code, Some(1), "{log}");
+        assert!(log.contains(with) && log.lines().count() == 1, "'{log}' does not say '{with}'");
+    }
+}
--- /dev/null
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -0,0 +1,330 @@
+//! The program on a stage: a list, runners and clients played by the test, all over loopback. Every wait is
+//! bounded.
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// No story waits longer than this for anything.
+pub const LONG: Duration = Duration::from_secs(8);
+
+pub fn pause(ms: u64) {
+    sleep(Duration::from_millis(ms));
+}
+
+/// One message as it came: its first line, its headers in lower case, its body.
+#[derive(Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: String,
+    pub body: String,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// Reads one message; `None` at the end of the connection.
+pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    let (mut first, mut headers) = (String::new(), String::new());
+    if from.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        headers.push_str(&line.to_lowercase().replace('\r', ""));
+    }
+    let mut message = Message { first: first.trim_end().to_string(), headers, body: String::new() };
+    let length = message.header("content-length").map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    message.body = String::from_utf8(body).unwrap();
+    Some(message)
+}
+
+/// Something handed to a runner, and the connection to answer on.
+pub struct Handed {
+    pub message: Message,
+    stream: TcpStream,
+}
+
+impl Handed {
+    pub fn answer(&self, status: &str, headers: &str) {
+        let head = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{headers}\r\n");
+        (&self.stream).write_all(head.as_bytes()).unwrap();
+    }
+    pub fn take(&self) {
+        self.answer("202 Accepted", "");
+    }
+    pub fn close(&self) {
+        self.stream.shutdown(std::net::Shutdown::Both).unwrap();
+    }
+    /// The other side has closed.
+    pub fn is_closed(&self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        matches!((&self.stream).peek(&mut [0]), Ok(0))
+    }
+}
+
+/// A runner: what it is handed comes out here.
+pub struct Runner {
+    pub name: String,
+    pub at: SocketAddr,
+    got: Receiver<Handed>,
+    connections: Receiver<()>,
+}
+
+impl Runner {
+    pub fn start(name: &str) -> Runner {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (give, got) = channel();
+        let (count, connections) = channel();
+        spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, give) = (stream.unwrap(), give.clone());
+                let _ = count.send(());
+                spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while let Some(message) = read(&mut reader) {
+                        let handed = Handed { message, stream: stream.try_clone().unwrap() };
+                        if give.send(handed).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Runner { name: name.to_string(), at, got, connections }
+    }
+    pub fn next(&self) -> Handed {
+        self.got.recv_timeout(LONG).expect("the runner is handed something")
+    }
+    pub fn poll(&self, ms: u64) -> Option<Handed> {
+        self.got.recv_timeout(Duration::from_millis(ms)).ok()
+    }
+    pub fn nothing(&self, ms: u64) {
+        let more = self.got.recv_timeout(Duration::from_millis(ms));
+        assert!(more.is_err(), "the runner was handed {:?}", more.unwrap().message);
+    }
+    pub fn connections(&self) -> usize {
+        self.connections.try_iter().count()
+    }
+    pub fn entry(&self, life: &str, started_ms: u64) -> String {
+        entry(&self.name, self.at, life, started_ms)
+    }
+}
+
+pub fn entry(name: &str, at: SocketAddr, life: &str, started_ms: u64) -> String {
+    format!(
+        r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"z","machineType":"k","cell":0,
+        "lifecycle":"{life}","weight":1.0,"startedAtMs":{started_ms}}}"#
+    )
+    .replace('\n', " ")
+}
+
+/// The list: each watch asked for comes out here, to be written to.
+pub struct List {
+    pub at: SocketAddr,
+    watches: Receiver<(String, TcpStream)>,
+}
+
+pub struct Watch {
+    pub asked: String,
+    stream: TcpStream,
+}
+
+impl List {
+    fn start() -> List {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (give, watches) = channel();
+        spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, give): (TcpStream, Sender<_>) = (stream.unwrap(), give.clone());
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                if let Some(message) = read(&mut reader) {
+                    let _ = give.send((message.first, stream));
+                }
+            }
+        });
+        List { at, watches }
+    }
+    /// The next watch, its answer's head written.
+    pub fn watch(&self) -> Watch {
+        let (asked, stream) = self.watches.recv_timeout(LONG).expect("the list is watched");
+        (&stream).write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        Watch { asked, stream }
+    }
+}
+
+impl Watch {
+    pub fn say(&self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        (&self.stream).write_all(chunk.as_bytes()).unwrap();
+    }
+    pub fn tell(&self, generation: u64, whole: bool, entries: &[String]) {
+        let entries = entries.join(",");
+        self.say(&format!(r#"{{"generation":{generation},"reset":{whole},"instances":[{entries}]}}"#));
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+static IDS: AtomicU32 = AtomicU32::new(1);
+
+impl Client {
+    pub fn send(&mut self, text: &str) -> &mut Self {
+        self.stream.write_all(text.as_bytes()).unwrap();
+        self
+    }
+    /// Hands in a work item of a category; its id.
+    pub fn hand_in(&mut self, category: &str, deadline: &str) -> String {
+        let id = format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed));
+        self.send(&format!(
+            "POST /{category}?key=7f3a HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Kind: {category}\r\n\
+             Req-Deadline: {deadline}\r\nContent-Length: 5\r\n\r\nwaves"
+        ));
+        id
+    }
+    pub fn read(&mut self) -> Option<Message> {
+        read(&mut self.reader)
+    }
+    pub fn answer(&mut self) -> Message {
+        self.read().expect("an answer comes")
+    }
+}
+
+/// The program, started and ready, with its list and runners.
+pub struct Stage {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub list: List,
+    pub runners: Vec<Runner>,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn launch(page: &str) -> Child {
+    let n = IDS.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("sagetrail-{}-{n}.json", std::process::id()));
+    std::fs::write(&path, page).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sagetrail"));
+    command.env("RELAY_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.spawn().unwrap()
+}
+
+/// What a dispatcher is told: one category of each kind, `exclusive` being the last.
+pub fn page(listen: SocketAddr, list: SocketAddr, sockets: usize, known: &[String]) -> String {
+    let category = |name: &str, repeat: &str| {
+        format!(
+            r#"{{"Name":"{name}","Repeat":"{repeat}","DedupScope":"all","DueTimeUs":600000,"ExpiryUs":10000000,
+            "Payoff":1.0,"TardyPayoff":0.2,"WindowUs":5000000}}"#
+        )
+    };
+    let categories = [category("rerun", "read_like"), category("once", "non_idempotent")].join(",");
+    let known = known.join(",");
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{list}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{{"generation":41,"reset":true,"instances":[{known}]}},
+        "settings":{{"Categories":[{categories}],"Dcs":["z"],"Kinds":["k"],"Discovery":"on_request",
+        "Domain":{{"ProgressUs":2000000,"TellsStart":true}},"Report":{{"Fields":[],"How":"off"}},"Me":0,
+        "ReplicasOfMe":1,"Limits":{{"ConnIdleUs":60000000,"DialTimeoutUs":250000,"MaxRetryAfterUs":2000000,
+        "MayCancel":true,"MostHandOffs":6,"MostHeld":20000,"RetryAfter":true}},
+        "Safety":{{"ColdFrom":0.2,"ColdUs":20000000,"FallMultiple":3.0,"MustAskInUs":10000000,
+        "OverloadForUs":1000000,"StopSendingWithinUs":300000}}}}}}"#
+    )
+}
+
+/// An address that nothing listens on.
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+impl Stage {
+    pub fn start(runners: usize) -> Stage {
+        Stage::with(runners, 1024)
+    }
+
+    pub fn with(runners: usize, sockets: usize) -> Stage {
+        let runners: Vec<Runner> = (0..runners).map(|n| Runner::start(&format!("s-{n}"))).collect();
+        let list = List::start();
+        let known: Vec<String> = runners.iter().map(|runner| runner.entry("Ready", 0)).collect();
+        let at = free();
+        let child = launch(&page(at, list.at, sockets, &known));
+        let stage = Stage { child, at, list, runners };
+        let start = Instant::now();
+        while TcpStream::connect(at).is_err() {
+            assert!(start.elapsed() < LONG, "the program listens");
+            pause(5);
+        }
+        stage
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.at).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Client { stream, reader }
+    }
+
+    /// A runner's call-back; the status it is answered with.
+    pub fn news(&self, id: &str, from: &str, state: &str) -> u16 {
+        self.post(&format!(r#"{{"id":"{id}","from":"{from}","state":{state}}}"#))
+    }
+
+    pub fn post(&self, body: &str) -> u16 {
+        let mut client = self.client();
+        let length = body.len();
+        client.send(&format!(
+            "POST /_jobs/news HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"
+        ));
+        client.answer().status()
+    }
+
+    pub fn term(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// How the program ended, and what it logged.
+    pub fn ended(&mut self) -> (Option<i32>, String) {
+        ended(&mut self.child)
+    }
+}
+
+pub fn ended(child: &mut Child) -> (Option<i32>, String) {
+    let start = Instant::now();
+    while child.try_wait().unwrap().is_none() {
+        assert!(start.elapsed() < LONG, "the program ends");
+        pause(5);
+    }
+    let mut log = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    (child.wait().unwrap().code(), log)
+}
