A job that cannot be given up stays out; restarts bury jobs; silence closes idle connections

A refused connection proves the process gone, and a new start time in the list that it lost its jobs.

--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -24,8 +24,8 @@
 const IDLE_S: f64 = 75.0;
 /// A request once begun must be whole after this, an answer written: many times a slow client's need.
 const SLOW_S: f64 = 5.0;
-/// Time for what travels between a client and here, out of its deadline.
-const WAY_S: f64 = 0.01;
+/// Out of a client's deadline: the way there and back, and a moment in which this process did not get the core.
+const WAY_S: f64 = 0.025;
 
 /// What all client connections share.
 pub struct Door {
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -158,6 +158,7 @@
     most_held: usize,
     /// A work item may be at two runners at once.
     two_at_once: bool,
+    may_cancel: bool,
     /// When the process is to have settled everything.
     end_at: f64,
 }
@@ -198,7 +199,7 @@
     /// says what is told once it is known to be given up.
     fn call_off(&mut self, ticket: Ticket, then: Option<Outcome>) {
         let until = self.now + 2.0 * self.pool.dial_s;
-        let tray = self.tray.clone();
+        let (tray, may_cancel) = (self.tray.clone(), self.may_cancel);
         let Some(taken) = self.taken(ticket.wi).filter(|taken| taken.serial == ticket.serial) else { return };
         let give_up = Outgoing::GiveUp { id: taken.order.id.to_string() };
         let Some(out) = taken.out.as_mut().filter(|out| out.no == ticket.no) else { return };
@@ -209,10 +210,13 @@
             }
             return;
         }
-        let place = out.runner;
+        if !may_cancel {
+            return;
+        }
         let told = move |exchange: &mut Exchange, ended| exchange.given_up(ticket, then, ended);
         let (errand, stop, _) = Errand::new(&tray, give_up, until, told);
         out.stop = Some(stop);
+        let place = out.runner;
         spawn_local(runners::run(self.pool.clone(), self.runners[place].clone(), errand));
     }
 }
@@ -289,11 +293,12 @@
     pub drain_s: f64,
     pub most_held: usize,
     pub two_at_once: bool,
+    pub may_cancel: bool,
 }
 
 impl Exchange {
     pub fn new(dispatcher: Dispatcher, setting: Setting) -> Self {
-        let Setting { clock, pool, tray, ask_list, drain_s, most_held, two_at_once } = setting;
+        let Setting { clock, pool, tray, ask_list, drain_s, most_held, two_at_once, may_cancel } = setting;
         let desk = Desk {
             clock,
             now: clock.now(),
@@ -310,6 +315,7 @@
             wake_at: 0.0,
             most_held,
             two_at_once,
+            may_cancel,
             end_at: f64::INFINITY,
         };
         Exchange { dispatcher, desk }
@@ -485,13 +491,11 @@
     }
 
     /// The runner has been told to give a hand-off up, or could not be. Guards against a second copy beside one
-    /// that runs on behind a cut: what could not be told is told again until its client gives up, unless its
-    /// process is known to be no more.
+    /// that runs on behind a cut: where two at once are not allowed, what could not be told is told again
+    /// until its client gives up, unless nobody listens there any more.
     fn given_up(&mut self, ticket: Ticket, then: Option<Outcome>, ended: Result<Answer, Broken>) {
-        let (Some(then), Some(out)) = (then, self.desk.out(ticket)) else { return };
-        let place = out.runner;
-        let known = matches!(ended, Ok(_) | Err(Broken::Refused));
-        if known || self.desk.two_at_once || self.desk.runners[place].gone.get() {
+        let Some(then) = then else { return };
+        if self.desk.two_at_once || matches!(ended, Ok(_) | Err(Broken::Refused)) {
             self.ended(ticket, then);
         } else {
             self.desk.call_off(ticket, Some(then));
@@ -529,10 +533,7 @@
         // Half of the grace: the rest is for what lies between the list's writing and our reading.
         let shut_at = self.desk.now + 0.5 * self.desk.drain_s;
         if news != News::Changes {
-            for runner in &self.desk.runners {
-                runner.shut_at.set(runner.shut_at.get().min(shut_at));
-                runner.gone.set(true);
-            }
+            self.desk.runners.iter().for_each(|runner| runner.shut_at.set(runner.shut_at.get().min(shut_at)));
         }
         let mut entries = Vec::with_capacity(told.members.len());
         for member in told.members {
@@ -544,21 +545,16 @@
         self.bury(&entries);
     }
 
-    /// Guards against waiting for word of jobs whose machine vanished without one: a process that started again
-    /// has none of the earlier one's, and one that is gone must give them up.
+    /// Guards against waiting for word of jobs whose machine vanished without one: a process that has started
+    /// again has none of the earlier one's.
     fn bury(&mut self, entries: &[(usize, Option<Listed>)]) {
         let born: BTreeMap<usize, f64> =
             entries.iter().filter_map(|(place, listed)| Some((*place, (*listed)?.born))).collect();
         for place in 0..self.desk.taken.len() {
             let Some(Taken { serial, out: Some(out), .. }) = &self.desk.taken[place] else { continue };
-            let ticket = Ticket { wi: Wi(place as u32), serial: *serial, no: out.no };
-            if !out.accepted {
-                continue;
-            }
-            if born.get(&out.runner).is_some_and(|born| *born > out.sent) {
+            if out.accepted && born.get(&out.runner).is_some_and(|born| *born > out.sent) {
+                let ticket = Ticket { wi: Wi(place as u32), serial: *serial, no: out.no };
                 self.ended(ticket, Outcome::Reset);
-            } else if self.desk.runners[out.runner].gone.get() && !out.off {
-                self.desk.call_off(ticket, Some(Outcome::Reset));
             }
         }
     }
@@ -583,7 +579,6 @@
             runner.drop_idle();
         }
         let ready = member.life == Life::Ready;
-        runner.gone.set(member.life == Life::Gone);
         runner.shut_at.set(if ready { f64::INFINITY } else { runner.shut_at.get().min(shut_at) });
         let listed = Listed {
             id: number(&member.id),
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -66,12 +66,18 @@
         stamps: Cell::new(0),
     });
     let longest = door.expiries.iter().copied().fold(0.0, f64::max);
+    let setting = Setting {
+        clock,
+        pool,
+        tray: tray.clone(),
+        ask_list,
+        drain_s: start.drain_s,
+        most_held: start.most_held,
+        two_at_once: start.two_at_once,
+        may_cancel: start.terms.may_cancel,
+    };
     let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
-    let (drain_s, most_held, two_at_once) = (start.drain_s, start.most_held, start.two_at_once);
-    let mut exchange = Exchange::new(
-        dispatcher,
-        Setting { clock, pool, tray: tray.clone(), ask_list, drain_s, most_held, two_at_once },
-    );
+    let mut exchange = Exchange::new(dispatcher, setting);
     exchange.known(start.known);
     log::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -38,8 +38,6 @@
     pub shut_at: Cell<f64>,
     /// When its process started, by the list.
     pub started: Cell<f64>,
-    /// The list no longer names it.
-    pub gone: Cell<bool>,
     idle: RefCell<Vec<oneshot::Sender<Errand>>>,
 }
 
@@ -50,7 +48,6 @@
             address: Cell::new(address),
             shut_at: Cell::new(f64::INFINITY),
             started: Cell::new(started),
-            gone: Cell::new(false),
             idle: RefCell::default(),
         })
     }
@@ -196,28 +193,29 @@
     }
 }
 
-async fn dial(pool: Rc<Pool>, runner: Rc<Runner>, mut errand: Errand) {
-    let opened = async {
-        let permit = match pool.permits.clone().try_acquire_owned() {
-            Ok(permit) => permit,
-            Err(_) => {
-                // All connections are in use or idle somewhere: one of the idle makes room.
-                pool.spare_one();
-                pool.permits.clone().acquire_owned().await.map_err(|_| Broken::Unsent)?
-            }
-        };
-        match TcpStream::connect(runner.address.get()).await {
-            Ok(stream) => stream.set_nodelay(true).map(|()| (stream, permit)).map_err(|_| Broken::Unreached),
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => Err(Broken::Refused),
-            Err(_) => Err(Broken::Unreached),
+async fn open(pool: &Pool, runner: &Runner) -> Result<(TcpStream, OwnedSemaphorePermit), Broken> {
+    let within = Duration::from_secs_f64(pool.dial_s);
+    let permit = match pool.permits.clone().try_acquire_owned() {
+        Ok(permit) => permit,
+        Err(_) => {
+            // All connections are in use or idle somewhere: one of the idle makes room.
+            pool.spare_one();
+            let freed = timeout(within, pool.permits.clone().acquire_owned()).await;
+            freed.ok().and_then(Result::ok).ok_or(Broken::Unsent)?
         }
     };
+    match timeout(within, TcpStream::connect(runner.address.get())).await {
+        Ok(Ok(stream)) => stream.set_nodelay(true).map(|()| (stream, permit)).map_err(|_| Broken::Unreached),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(Broken::Refused),
+        _ => Err(Broken::Unreached),
+    }
+}
+
+async fn dial(pool: Rc<Pool>, runner: Rc<Runner>, mut errand: Errand) {
     let opened = tokio::select! {
         biased;
         () = stopped(&mut errand.stop) => Err(Broken::Unsent),
-        opened = timeout(Duration::from_secs_f64(pool.dial_s), opened) => {
-            opened.unwrap_or(Err(Broken::Unreached))
-        }
+        opened = open(&pool, &runner) => opened,
     };
     match opened {
         Ok((stream, permit)) => {
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -362,3 +362,71 @@
         assert!(log.contains(with) && log.lines().count() == 1, "'{log}' does not say '{with}'");
     }
 }
+
+#[test]
+fn work_at_a_silent_runner_moves_on_only_once_it_is_given_up() {
+    let stage = Stage::start(2);
+    let (mut one, mut two) = (stage.client(), stage.client());
+    let id = one.hand_in("rerun", "6000m");
+    two.hand_in("rerun", "6000m");
+    // Both have the same key, so both are at the same runner. It takes them and says nothing more.
+    let (silent, well) = match stage.runners[0].poll(300) {
+        Some(handed) => {
+            handed.take();
+            (&stage.runners[0], &stage.runners[1])
+        }
+        None => (&stage.runners[1], &stage.runners[0]),
+    };
+    while let Some(handed) = silent.poll(100) {
+        handed.take();
+    }
+    let give_up = format!("DELETE /jobs/{id} HTTP/1.1");
+    let told =
+        |_: usize| std::iter::from_fn(|| silent.poll(2000)).find(|handed| handed.message.first == give_up);
+    told(1).expect("it is told to give the first up");
+    let again = told(2).expect("and told again, since it did not answer");
+    well.nothing(100);
+    again.answer("204 No Content", "");
+    assert_eq!(well.next().message.header("req-id"), Some(id.as_str()));
+}
+
+#[test]
+fn a_runner_that_started_again_has_lost_its_jobs() {
+    let stage = Stage::start(2);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "6000m");
+    let (old, other) = match stage.runners[0].poll(300) {
+        Some(handed) => {
+            handed.take();
+            (&stage.runners[0], &stage.runners[1])
+        }
+        None => (&stage.runners[1], &stage.runners[0]),
+    };
+    while let Some(handed) = old.poll(100) {
+        handed.take();
+    }
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    stage.list.watch().tell(42, false, &[old.entry("Ready", now.as_millis() as u64)]);
+    assert_eq!(other.next().message.header("req-id"), Some(id.as_str()));
+}
+
+#[test]
+fn after_silence_a_runner_is_tried_on_a_new_connection() {
+    let stage = Stage::start(1);
+    let mut clients = [stage.client(), stage.client()];
+    let ids = clients.each_mut().map(|client| client.hand_in("rerun", "6000m"));
+    [stage.runners[0].next(), stage.runners[0].next()].iter().for_each(Handed::take);
+    for (client, id) in clients.iter_mut().zip(&ids) {
+        stage.news(id, "s-0", r#""done","result":"a""#);
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert_eq!(stage.runners[0].connections(), 2);
+    let [mut leaves, mut stays] = clients;
+    leaves.hand_in("rerun", "6000m");
+    let unanswered = stage.runners[0].next();
+    drop(leaves);
+    assert!(unanswered.is_closed());
+    stays.hand_in("rerun", "6000m");
+    stage.runners[0].next();
+    assert_eq!(stage.runners[0].connections(), 1, "the other idle one was not trusted");
+}
