Ready once there is a list; new connections at the end are heard; giving up is paced

Reading the code for what a planned restart does: a connection that came in the 0.4 s after SIGTERM was shut before its first request (clients.rs, request). It now has 0.5 s for it. DELETE told again waits a dial's time in between, since a runner that refuses to talk would have been dialled without pause. A predecessor's address is waited for, 3 s at most.

--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -15,16 +15,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::codec::Framed;
 
 type Wire = Framed<TcpStream, Serving>;
 
 /// An idle connection is kept this long: longer than clients pause, short of for ever.
 const IDLE_S: f64 = 75.0;
+/// A new connection's first request is on its way this long at the most.
+const FRESH_S: f64 = 0.5;
 /// A request once begun must be whole after this, an answer written: many times a slow client's need.
 const SLOW_S: f64 = 5.0;
-/// Out of a client's deadline: the way there and back, and a moment in which this process did not get the core.
+/// Out of a client's deadline: the way there and back, and a moment in which this process had no core.
 const WAY_S: f64 = 0.025;
 
 /// What all client connections share.
@@ -34,6 +36,8 @@
     pub expiries: Vec<f64>,
     /// Rises to true when the dispatcher is to end.
     pub closing: watch::Receiver<bool>,
+    /// There has been a list, be it an old one.
+    pub listed: Rc<Cell<bool>>,
     /// How many connections there may be, and how many more to turn work away on.
     pub most: usize,
     pub more: usize,
@@ -115,11 +119,12 @@
 async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
     stream.set_nodelay(true)?;
     let mut wire = Framed::new(stream, Serving::default());
+    let opened = Instant::now();
     let mut ahead = None;
     loop {
         let read = match ahead.take() {
             Some(request) => Some(Ok(request)),
-            None => request(&mut wire, door).await,
+            None => request(&mut wire, opened, door).await,
         };
         let (mut reply, keep) = match read {
             None => return Ok(()),
@@ -153,15 +158,20 @@
 }
 
 /// Waits for the next request; `None` when the connection is to end without a word.
-async fn request(wire: &mut Wire, door: &Door) -> Option<Result<Request, Fault>> {
+async fn request(wire: &mut Wire, opened: Instant, door: &Door) -> Option<Result<Request, Fault>> {
     let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
     door.idle.borrow_mut().insert(stamp, close.clone());
     let mut closing = door.closing.clone();
+    // At the end connections still come, and are not shut before their request had time to.
+    let ending = async {
+        let _ = closing.wait_for(|closing| *closing).await;
+        sleep_until(opened + Duration::from_secs_f64(FRESH_S)).await;
+    };
     let come = tokio::select! {
         biased;
         come = begun(wire) => Some(come),
         () = close.notified() => None,
-        _ = closing.wait_for(|closing| *closing) => None,
+        () = ending => None,
         () = sleep(Duration::from_secs_f64(IDLE_S)) => None,
     };
     door.idle.borrow_mut().remove(&stamp);
@@ -202,6 +212,7 @@
     let looks = matches!(request.method, Method::Get | Method::Head);
     Some(match path {
         "/health/ready" if looks && *door.closing.borrow() => Reply::new(503, "ending\n"),
+        "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
         "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
         "/_jobs/news" if request.method == Method::Post => {
             match serde_json::from_slice::<Word>(&request.body) {
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -147,6 +147,7 @@
     tray: Tray,
     pool: Rc<Pool>,
     ask_list: Rc<Notify>,
+    has_list: Rc<Cell<bool>>,
     drain_s: f64,
     runners: Vec<Rc<Runner>>,
     places: HashMap<String, usize>,
@@ -285,11 +286,12 @@
     }
 }
 
-pub struct Setting {
+pub struct Parts {
     pub clock: Clock,
     pub pool: Rc<Pool>,
     pub tray: Tray,
     pub ask_list: Rc<Notify>,
+    pub has_list: Rc<Cell<bool>>,
     pub drain_s: f64,
     pub most_held: usize,
     pub two_at_once: bool,
@@ -297,14 +299,16 @@
 }
 
 impl Exchange {
-    pub fn new(dispatcher: Dispatcher, setting: Setting) -> Self {
-        let Setting { clock, pool, tray, ask_list, drain_s, most_held, two_at_once, may_cancel } = setting;
+    pub fn new(dispatcher: Dispatcher, parts: Parts) -> Self {
+        let Parts { clock, pool, tray, ask_list, has_list, drain_s, .. } = parts;
+        let Parts { most_held, two_at_once, may_cancel, .. } = parts;
         let desk = Desk {
             clock,
             now: clock.now(),
             tray,
             pool,
             ask_list,
+            has_list,
             drain_s,
             runners: Vec::new(),
             places: HashMap::new(),
@@ -410,8 +414,8 @@
             Some(Taken { serial, order, answer: Some(answer), expiry, made: 0, out: None });
     }
 
-    /// The process is to end: all that is out is dropped a little before, so that what may run again can still
-    /// be deferred.
+    /// The process is to end: all that is out is dropped a little before, so that what may run again can
+    /// still be deferred.
     pub fn end_by(&mut self, at: f64) {
         self.desk.end_at = at;
         self.dispatcher.end_by(at);
@@ -490,15 +494,20 @@
         self.ended(ticket, outcome);
     }
 
-    /// The runner has been told to give a hand-off up, or could not be. Guards against a second copy beside one
-    /// that runs on behind a cut: where two at once are not allowed, what could not be told is told again
-    /// until its client gives up, unless nobody listens there any more.
+    /// The runner has been told to give a hand-off up, or could not be. Guards against a second copy beside
+    /// one that runs on behind a cut: where two at once are not allowed, what could not be told is told
+    /// again until its client gives up, unless nobody listens there any more.
     fn given_up(&mut self, ticket: Ticket, then: Option<Outcome>, ended: Result<Answer, Broken>) {
         let Some(then) = then else { return };
         if self.desk.two_at_once || matches!(ended, Ok(_) | Err(Broken::Refused)) {
             self.ended(ticket, then);
         } else {
-            self.desk.call_off(ticket, Some(then));
+            // Paced: a runner may refuse to talk at once, and every new connection costs it work.
+            let (tray, pause) = (self.desk.tray.clone(), Duration::from_secs_f64(self.desk.pool.dial_s));
+            spawn_local(async move {
+                tokio::time::sleep(pause).await;
+                tray.call(move |exchange| exchange.desk.call_off(ticket, Some(then))).await;
+            });
         }
     }
 
@@ -541,6 +550,7 @@
                 entries.push(entry);
             }
         }
+        self.desk.has_list.set(news != News::Cached || !entries.is_empty());
         self.dispatcher.listed(self.desk.now, news, &entries);
         self.bury(&entries);
     }
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -8,10 +8,12 @@
 mod start;
 
 use clients::Door;
-use exchange::{Clock, Exchange, Setting, Tray};
+use exchange::{Clock, Exchange, Parts, Tray};
 use sagetrail_policy::Dispatcher;
 use start::Start;
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +27,18 @@
 /// Descriptors for the program itself: its streams, the runtime's, the listener, the list.
 const SPARE: usize = 24;
 
+/// Guards against a predecessor under the same address that has not quite ended.
+async fn bind(at: SocketAddr, clock: Clock) -> std::io::Result<TcpListener> {
+    loop {
+        match TcpListener::bind(at).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && clock.now() < 3.0 => {
+                sleep(Duration::from_millis(20)).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 async fn serve(start: Start) -> Result<(), String> {
     let clock = Clock::start();
     let rest = start.descriptors.saturating_sub(SPARE);
@@ -32,12 +46,12 @@
         return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + 40));
     }
     let (to_runners, more) = (rest / 4, rest / 16);
-    let listener = TcpListener::bind(start.listen).await;
+    let listener = bind(start.listen, clock).await;
     let listener = listener.map_err(|error| format!("listening on {}: {error}", start.listen))?;
     let mut term = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut int = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
     let (tray, calls) = Tray::new();
-    let ask_list = Rc::new(Notify::new());
+    let (ask_list, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
     let pool = Rc::new(runners::Pool {
         clock,
         permits: Arc::new(Semaphore::new(to_runners)),
@@ -58,6 +72,7 @@
         categories: start.categories,
         expiries: start.expiries,
         closing,
+        listed: has_list.clone(),
         most: rest - to_runners - more,
         more,
         open: Cell::new(0),
@@ -66,18 +81,19 @@
         stamps: Cell::new(0),
     });
     let longest = door.expiries.iter().copied().fold(0.0, f64::max);
-    let setting = Setting {
+    let parts = Parts {
         clock,
         pool,
         tray: tray.clone(),
         ask_list,
+        has_list,
         drain_s: start.drain_s,
         most_held: start.most_held,
         two_at_once: start.two_at_once,
         may_cancel: start.terms.may_cancel,
     };
     let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
-    let mut exchange = Exchange::new(dispatcher, setting);
+    let mut exchange = Exchange::new(dispatcher, parts);
     exchange.known(start.known);
     log::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -162,8 +162,8 @@
                 () = stopped(&mut self.stop) => {}
                 () = clock.sleep_until(self.until) => {}
             }} => {
-                // Guards against a machine that vanished: its other connections stand open and silent too, and
-                // only a new one tells.
+                // Guards against a machine that vanished: its other connections stand open and silent too,
+                // and only a new one tells.
                 runner.drop_idle();
                 Err(self.ending.broken(Broken::Unsent))
             }
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -93,7 +93,7 @@
     if terms.categories.is_empty() {
         return Err("settings name no category".to_string());
     }
-    // This protocol has one way to the list, whatever the deployment's was: a watch. And no word between peers.
+    // This protocol has one way to the list, a watch, whatever the deployment's was; and no word to peers.
     terms.asks_for_list = true;
     terms.peers = false;
     if terms.must_ask_s <= 0.0 {
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -256,6 +256,7 @@
     stage.term();
     assert!(idle.read().is_none(), "idle connections are shut");
     let mut late = stage.client();
+    pause(100);
     late.hand_in("once", "9000m");
     stage.news(&id, "s-0", r#""done","result":"a""#);
     let answer = quick.answer();
@@ -431,3 +432,13 @@
     stage.runners[0].next();
     assert_eq!(stage.runners[0].connections(), 1, "the other idle one was not trusted");
 }
+
+#[test]
+fn it_is_ready_once_it_has_a_list() {
+    let stage = Stage::start(0);
+    let ready = || stage.client().send("GET /health/ready HTTP/1.1\r\n\r\n").answer().status();
+    assert_eq!(ready(), 503);
+    stage.list.watch().tell(42, true, &[]);
+    pause(50);
+    assert_eq!(ready(), 200);
+}
