--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -38,6 +38,8 @@
     pub closing: watch::Receiver<bool>,
     /// There has been a list, be it an old one.
     pub listed: Rc<Cell<bool>>,
+    /// When to come back, for who is turned away at the door; 0 where that is not passed on.
+    pub come_back_s: f64,
     /// How many connections there may be, and how many more to turn work away on.
     pub most: usize,
     pub more: usize,
@@ -225,7 +227,9 @@
         }
         "/health/ready" | "/health/live" | "/_jobs/news" => Reply::new(405, "not with this method\n"),
         _ if request.method != Method::Post => Reply::new(405, "jobs come by POST\n"),
-        _ if door.crowded() => Reply { come_back_s: 1.0, ..Reply::new(503, "too many connections\n") },
+        _ if door.crowded() => {
+            Reply { come_back_s: door.come_back_s, ..Reply::new(503, "too many connections\n") }
+        }
         _ => match job(&request, door) {
             Ok((job, wait_s)) => return work(request, job, wait_s, wire, ahead, door).await,
             Err((status, why)) => Reply::new(status, format!("{why}\n")),
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -162,6 +162,7 @@
     starts: VecDeque<(f64, Ticket)>,
     wake_at: f64,
     most_held: usize,
+    come_back_s: f64,
     /// A work item may be at two runners at once.
     two_at_once: bool,
     may_cancel: bool,
@@ -299,6 +300,7 @@
     pub has_list: Rc<Cell<bool>>,
     pub drain_s: f64,
     pub most_held: usize,
+    pub come_back_s: f64,
     pub two_at_once: bool,
     pub may_cancel: bool,
 }
@@ -306,7 +308,7 @@
 impl Exchange {
     pub fn new(dispatcher: Dispatcher, parts: Parts) -> Self {
         let Parts { clock, pool, tray, ask_list, has_list, drain_s, .. } = parts;
-        let Parts { most_held, two_at_once, may_cancel, .. } = parts;
+        let Parts { most_held, come_back_s, two_at_once, may_cancel, .. } = parts;
         let desk = Desk {
             clock,
             now: clock.now(),
@@ -324,6 +326,7 @@
             starts: VecDeque::new(),
             wake_at: 0.0,
             most_held,
+            come_back_s,
             two_at_once,
             may_cancel,
             end_at: f64::INFINITY,
@@ -403,7 +406,8 @@
             return;
         }
         if self.desk.ids.len() >= self.desk.most_held {
-            let _ = answer.send(Reply { come_back_s: 1.0, ..Reply::new(503, "too many in hand\n") });
+            let come_back_s = self.desk.come_back_s;
+            let _ = answer.send(Reply { come_back_s, ..Reply::new(503, "too many in hand\n") });
             return;
         }
         let expiry = (now + wait_s).min(self.desk.end_at);
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -66,6 +66,8 @@
         ask: ask_list.clone(),
         after: start.known.generation,
     };
+    // A second: places are taken for as long as jobs run, and those take about one.
+    let come_back_s = start.terms.max_come_back_s.min(1.0);
     let (close, closing) = watch::channel(false);
     let door = Rc::new(Door {
         tray: tray.clone(),
@@ -73,6 +75,7 @@
         expiries: start.expiries,
         closing,
         listed: has_list.clone(),
+        come_back_s,
         most: rest - to_runners - more,
         more,
         open: Cell::new(0),
@@ -89,6 +92,7 @@
         has_list,
         drain_s: start.drain_s,
         most_held: start.most_held,
+        come_back_s,
         two_at_once: start.two_at_once,
         may_cancel: start.terms.may_cancel,
     };
