--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -430,11 +430,11 @@
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
-        let (work, runner, told) =
-            (&self.works[w as usize], &self.runners[r], self.terms.free_slots_at.is_some());
-        // No spare slot is asked of an idle runner that tells no slots: at a cap of one it got no late work.
+        let (work, runner) = (&self.works[w as usize], &self.runners[r]);
+        // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits
+        // has no holder among the runners with room.
         if work.waits
-            || work.spare > 0.0 && runner.room < work.job.slots + work.spare && (runner.mine > 0.0 || told)
+            || work.spare > 0.0 && runner.room < work.job.slots + work.spare
             || self.cold_size(&work.job) > runner.cold_left
             || !self.of_kind(w, r)
             || work.avoid.0 == r && now < work.avoid.1
