--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -142,6 +142,7 @@
                     Fault::BodyTooLong => 413,
                     Fault::HeadTooLong => 431,
                     Fault::Malformed(_) => 400,
+                    Fault::Unfinished => 408,
                     Fault::Broken(_) | Fault::Answer(_) => return Err(fault),
                 };
                 (Reply::new(status, format!("{fault}\n")), false)
@@ -151,7 +152,7 @@
         reply.close = !keep || *door.closing.borrow() || door.open.get() > door.most;
         let close = reply.close;
         let sent = timeout(Duration::from_secs_f64(SLOW_S), wire.send(reply)).await;
-        sent.map_err(|_| Fault::Malformed("the client does not read"))??;
+        sent.map_err(|_| Fault::Unfinished)??;
         drop(busy);
         if close {
             return linger(wire).await;
@@ -182,7 +183,7 @@
     }
     match timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await {
         Ok(read) => read,
-        Err(_) => Some(Err(Fault::Malformed("the request does not come to its end"))),
+        Err(_) => Some(Err(Fault::Unfinished)),
     }
 }
 
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -24,6 +24,8 @@
     Malformed(&'static str),
     HeadTooLong,
     BodyTooLong,
+    /// It was begun and did not come to its end.
+    Unfinished,
     /// The answer was another than hoped for.
     Answer(u16),
     Broken(io::Error),
@@ -41,6 +43,7 @@
             Fault::Malformed(what) => f.write_str(what),
             Fault::HeadTooLong => f.write_str("the head is too long"),
             Fault::BodyTooLong => f.write_str("the body is too long"),
+            Fault::Unfinished => f.write_str("it does not come to its end"),
             Fault::Answer(status) => write!(f, "answered {status}"),
             Fault::Broken(error) => write!(f, "{error}"),
         }
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -118,6 +118,8 @@
         sleep(Duration::from_millis(10)).await;
     }
     log::info!("ends with {} unanswered", door.busy.get());
+    // For the last bytes, and for runners that are told to give a job up.
+    sleep(Duration::from_millis(50)).await;
     Ok(())
 }
 
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -433,6 +433,23 @@
     assert_eq!(stage.runners[0].connections(), 1, "the other idle one was not trusted");
 }
 
+#[test]
+fn peers_that_fall_silent_are_not_waited_for() {
+    let stage = Stage::start(1);
+    let mut half = stage.client();
+    half.send("POST /rerun HTTP/1.1\r\nReq-Id: ab\r\nContent-Length: 5\r\n\r\nwa");
+    // A runner that takes a connection and says nothing, for a client that waits 1 s.
+    let mut client = stage.client();
+    let start = Instant::now();
+    client.hand_in("once", "1000m");
+    let handed = stage.runners[0].next();
+    assert_eq!(client.answer().status(), 502);
+    assert!((900..1070).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+    assert!(handed.is_closed());
+    assert_eq!(half.answer().status(), 408);
+    assert!(half.read().is_none());
+}
+
 #[test]
 fn it_is_ready_once_it_has_a_list() {
     let stage = Stage::start(0);
