A new connection is not shut to make room before its first request

With all others busy the newest connection was the longest idle one, and was shut for the next (clients.rs, request). It now has 0.5 s of its own. Ten descriptors are the program's own (58 used, 48 shared out), so 16 are kept, not 24.

--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -15,14 +15,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::codec::Framed;
 
 type Wire = Framed<TcpStream, Serving>;
 
 /// An idle connection is kept this long: longer than clients pause, short of for ever.
 const IDLE_S: f64 = 75.0;
-/// A new connection's first request is on its way this long at the most.
+/// A new connection's first request is on its way this long at the most: a few round trips and a pause.
 const FRESH_S: f64 = 0.5;
 /// A request once begun must be whole after this, an answer written: many times a slow client's need.
 const SLOW_S: f64 = 5.0;
@@ -121,12 +121,12 @@
 async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
     stream.set_nodelay(true)?;
     let mut wire = Framed::new(stream, Serving::default());
-    let opened = Instant::now();
+    let mut fresh = Some(Instant::now());
     let mut ahead = None;
     loop {
         let read = match ahead.take() {
             Some(request) => Some(Ok(request)),
-            None => request(&mut wire, opened, door).await,
+            None => request(&mut wire, fresh.take(), door).await,
         };
         let (mut reply, keep) = match read {
             None => return Ok(()),
@@ -161,34 +161,48 @@
 }
 
 /// Waits for the next request; `None` when the connection is to end without a word.
-async fn request(wire: &mut Wire, opened: Instant, door: &Door) -> Option<Result<Request, Fault>> {
+async fn request(wire: &mut Wire, fresh: Option<Instant>, door: &Door) -> Option<Result<Request, Fault>> {
+    // Guards against shutting a new connection whose first request is under way: its client takes that for a
+    // request lost, and sends nothing again, unlike on a connection that has served.
+    let until = fresh.map(|opened| opened + Duration::from_secs_f64(FRESH_S));
+    let come = match until {
+        Some(until) => timeout_at(until, begun(wire)).await.ok(),
+        None => None,
+    };
+    let come = match come {
+        Some(come) => come,
+        None => idle(wire, door).await?,
+    };
+    if let Some(read) = come {
+        return read;
+    }
+    match timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await {
+        Ok(read) => read,
+        Err(_) => Some(Err(Fault::Unfinished)),
+    }
+}
+
+/// Waits as one of the idle connections; `None` if it is this one's turn to be shut.
+async fn idle(wire: &mut Wire, door: &Door) -> Option<Begun> {
     let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
     door.idle.borrow_mut().insert(stamp, close.clone());
     let mut closing = door.closing.clone();
-    // At the end connections still come, and are not shut before their request had time to.
-    let ending = async {
-        let _ = closing.wait_for(|closing| *closing).await;
-        sleep_until(opened + Duration::from_secs_f64(FRESH_S)).await;
-    };
     let come = tokio::select! {
         biased;
         come = begun(wire) => Some(come),
         () = close.notified() => None,
-        () = ending => None,
+        _ = closing.wait_for(|closing| *closing) => None,
         () = sleep(Duration::from_secs_f64(IDLE_S)) => None,
     };
     door.idle.borrow_mut().remove(&stamp);
-    if let Some(read) = come? {
-        return read;
-    }
-    match timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await {
-        Ok(read) => read,
-        Err(_) => Some(Err(Fault::Unfinished)),
-    }
+    come
 }
 
-/// Waits for the first bytes of a request: `None`, or all that `next` says if that is more.
-async fn begun(wire: &mut Wire) -> Option<Option<Result<Request, Fault>>> {
+/// What came first: nothing whole yet, or all that `next` says.
+type Begun = Option<Option<Result<Request, Fault>>>;
+
+/// Waits for the first bytes of a request.
+async fn begun(wire: &mut Wire) -> Begun {
     poll_fn(|cx| match Pin::new(&mut *wire).poll_next(cx) {
         Poll::Ready(read) => Poll::Ready(Some(read)),
         Poll::Pending if !wire.read_buffer().is_empty() || !wire.codec().between() => Poll::Ready(None),
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -24,8 +24,10 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-/// Descriptors for the program itself: its streams, the runtime's, the listener, the list.
-const SPARE: usize = 24;
+/// Descriptors for the program itself: its streams, the runtime's, the listener, the list are ten at the most.
+const SPARE: usize = 16;
+/// With fewer to share out, a burst would find no place.
+const FEWEST: usize = 16;
 
 /// Guards against a predecessor under the same address that has not quite ended.
 async fn bind(at: SocketAddr, clock: Clock) -> std::io::Result<TcpListener> {
@@ -42,8 +44,8 @@
 async fn serve(start: Start) -> Result<(), String> {
     let clock = Clock::start();
     let rest = start.descriptors.saturating_sub(SPARE);
-    if rest < 40 {
-        return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + 40));
+    if rest < FEWEST {
+        return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + FEWEST));
     }
     let (to_runners, more) = (rest / 4, rest / 16);
     let listener = bind(start.listen, clock).await;
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -341,6 +341,13 @@
     assert_eq!(stage.news(&id, "s-0", r#""done","result":"fine""#), 204);
     assert_eq!(client.answer().body, "fine");
     drop(idle);
+    // A new connection is not shut to make room for another before its first request had time to come.
+    let mut fresh: Vec<Client> = (0..35).map(|_| stage.client()).collect();
+    pause(100);
+    for client in &mut fresh {
+        client.send("GET /health/live HTTP/1.1\r\n\r\n");
+    }
+    assert!(fresh.iter_mut().all(|client| client.read().is_some()));
     stage.term();
     let (code, log) = stage.ended();
     assert_eq!(code, Some(0));
