News before the 202 stands for it when a hand-off is given up

Reading the code: a job whose start was heard before its 202 was given up by closing the connection alone; with the 202 already under way it would have run on beside the next copy (exchange.rs, call_off). Now the runner is told by DELETE, and the hand-off is back once that is answered.

--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -109,6 +109,7 @@
     drop_at: f64,
     stop: Option<oneshot::Sender<()>>,
     whole: Rc<Cell<bool>>,
+    /// By its 202, or by news that came before that.
     accepted: bool,
     /// The decisions have called it off.
     off: bool,
@@ -211,13 +212,11 @@
         let give_up = Outgoing::GiveUp { id: taken.order.id.to_string() };
         let Some(out) = taken.out.as_mut().filter(|out| out.no == ticket.no) else { return };
         out.off = true;
-        if !out.accepted {
-            if let Some(stop) = out.stop.take() {
-                let _ = stop.send(());
-            }
-            return;
+        // Closes the connection, if that still waits for an answer.
+        if let Some(stop) = out.stop.take() {
+            let _ = stop.send(());
         }
-        if !may_cancel {
+        if !out.accepted || !may_cancel {
             return;
         }
         let told = move |exchange: &mut Exchange, ended| exchange.given_up(ticket, then, ended);
@@ -472,6 +471,10 @@
             return;
         }
         let ticket = Ticket { wi, serial, no };
+        // Guards against closing the connection of a job whose 202 is under way, and calling that given up.
+        if let Some(out) = self.desk.out(ticket) {
+            out.accepted = true;
+        }
         match word.state {
             State::Started => self.desk.starts.push_back((now, ticket)),
             State::Running { share } => wi.progressed(&mut self.dispatcher, now, no, share.clamp(0.0, 1.0)),
@@ -489,6 +492,9 @@
     fn came_back(&mut self, ticket: Ticket, ended: Result<Answer, Broken>) {
         let Some(out) = self.desk.out(ticket) else { return };
         let off = out.off;
+        if off && out.accepted {
+            return;
+        }
         let outcome = match ended {
             Ok(Answer { status: 202, .. }) => {
                 out.accepted = true;
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -139,12 +139,21 @@
     let handed = stage.runners[0].next();
     drop(client);
     assert!(handed.is_closed(), "before the 202 the connection is closed");
-    let mut client = stage.client();
-    let id = client.hand_in("rerun", "9000m");
-    stage.runners[0].next().take();
-    pause(50);
-    drop(client);
-    assert_eq!(stage.runners[0].next().message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+    // After it, or after news that came before it, the runner is told.
+    for early in [false, true] {
+        let mut client = stage.client();
+        let id = client.hand_in("rerun", "9000m");
+        let handed = stage.runners[0].next();
+        match early {
+            false => handed.take(),
+            true => assert_eq!(stage.news(&id, "s-0", r#""started""#), 204),
+        }
+        pause(50);
+        drop(client);
+        let told = stage.runners[0].next();
+        assert_eq!(told.message.first, format!("DELETE /jobs/{id} HTTP/1.1"));
+        told.answer("204 No Content", "");
+    }
 }
 
 #[test]
