--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -111,8 +111,9 @@
     whole: Rc<Cell<bool>>,
     /// By its 202, or by news that came before that.
     accepted: bool,
-    /// The decisions have called it off.
+    /// The decisions have called it off; and the runner did not confirm that.
     off: bool,
+    unheard: bool,
 }
 
 /// A work item in hand.
@@ -245,7 +246,8 @@
         let came = move |exchange: &mut Exchange, ended| exchange.came_back(ticket, ended);
         let (errand, stop, whole) = Errand::new(&tray, message, drop_at, came);
         let stop = Some(stop);
-        taken.out = Some(Out { no, runner, sent, drop_at, stop, whole, accepted: false, off: false });
+        taken.out =
+            Some(Out { no, runner, sent, drop_at, stop, whole, accepted: false, off: false, unheard: false });
         self.timers.insert((micros(drop_at), ticket.serial, no), wi);
         spawn_local(runners::run(self.pool.clone(), to, errand));
     }
@@ -517,10 +519,16 @@
     /// one that runs on behind a cut: where two at once are not allowed, what could not be told is told
     /// again until its client gives up, unless nobody listens there any more.
     fn given_up(&mut self, ticket: Ticket, then: Option<Outcome>, ended: Result<Answer, Broken>) {
-        let Some(then) = then else { return };
+        let (Some(then), Some(taken)) = (then, self.desk.taken(ticket.wi)) else { return };
+        let id = taken.order.id.clone();
         if self.desk.two_at_once || matches!(ended, Ok(_) | Err(Broken::Refused)) {
             self.ended(ticket, then);
         } else {
+            if let Some(out) = self.desk.out(ticket).filter(|out| !std::mem::replace(&mut out.unheard, true))
+            {
+                let place = out.runner;
+                log::warn!("{} does not confirm giving up work item {id}", self.desk.runners[place].name);
+            }
             // Paced: a runner may refuse to talk at once, and every new connection costs it work.
             let (tray, pause) = (self.desk.tray.clone(), Duration::from_secs_f64(self.desk.pool.dial_s));
             spawn_local(async move {
