--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -524,8 +524,8 @@
         if self.desk.two_at_once || matches!(ended, Ok(_) | Err(Broken::Refused)) {
             self.ended(ticket, then);
         } else {
-            if let Some(out) = self.desk.out(ticket).filter(|out| !std::mem::replace(&mut out.unheard, true))
-            {
+            if let Some(out) = self.desk.out(ticket).filter(|out| !out.unheard) {
+                out.unheard = true;
                 let place = out.runner;
                 log::warn!("{} does not confirm giving up work item {id}", self.desk.runners[place].name);
             }
