SIGHUP rereads the page; the new list is watched before the old is let go

Cause: nothing listened to SIGHUP, whose default ends the process (main.rs, `serve` asked for TERM and INT only), and the list's address was a plain value of the watch (list.rs, `Watch.at`), so that no new one could have been taken up.

Now signals are listened to first of all; the page is read by the reader of the start; of it `discovery` is taken up. The new watch asks from the beginning (versions of two lists need not be alike) while the old one is read on until the new one has told something without a flaw. A page that cannot be used, and changes that need a restart, are one line each. The story fails without the change (the process is gone).

--- a/crates/sagetrail/src/list.rs
+++ b/crates/sagetrail/src/list.rs
@@ -1,15 +1,19 @@
-//! The list of runners: one watch at a time, opened when the decisions ask for it.
+//! The list of runners: one watch, opened when the decisions ask for it; two while one list takes over from
+//! another.
 use crate::exchange::Tray;
 use crate::http::{next, AskList, Fault, Watching};
 use crate::start::Names;
 use futures_util::SinkExt;
 use serde::Deserialize;
 use serde_json::Value;
+use std::cell::Cell;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -114,52 +118,85 @@
     }
 }
 
+/// One list: where it is, and the last of its versions that was read without a flaw.
+struct Place {
+    at: SocketAddr,
+    after: Cell<u64>,
+    /// Rung when it has told of runners.
+    spoke: Notify,
+}
+
 pub struct Watch {
-    pub at: SocketAddr,
+    /// Changes when the dispatcher is told of another list.
+    pub at: watch::Receiver<SocketAddr>,
     pub names: Names,
     pub tray: Tray,
     /// Rung when the decisions ask for the list.
     pub ask: Rc<Notify>,
-    /// The last version read without a flaw.
+    /// The version that the dispatcher starts from.
     pub after: u64,
+    pub failing: Cell<bool>,
+}
+
+type Open<'a> = Pin<Box<dyn Future<Output = Fault> + 'a>>;
+
+async fn ended(open: &mut Option<Open<'_>>) -> Fault {
+    let fault = match open {
+        Some(open) => open.await,
+        None => pending().await,
+    };
+    *open = None;
+    fault
 }
 
 impl Watch {
-    pub async fn keep(mut self) {
-        let ask = self.ask.clone();
-        let mut failing = false;
-        ask.notified().await;
+    pub async fn keep(self) {
+        let mut told = self.at.clone();
+        let at = *told.borrow_and_update();
+        let mut place = Rc::new(Place { at, after: Cell::new(self.after), spoke: Notify::new() });
+        let (mut open, mut former): (Option<Open>, Option<Open>) = (None, None);
         loop {
             tokio::select! {
                 biased;
-                fault = self.watch(&mut failing) => {
-                    if !std::mem::replace(&mut failing, true) {
+                Ok(()) = told.changed() => {
+                    // Guards against a gap between two lists: the one that spoke last is read on until the
+                    // new one has spoken. Asked from the beginning, since their versions are not alike.
+                    former = former.or(open);
+                    let at = *told.borrow_and_update();
+                    place = Rc::new(Place { at, after: Cell::new(0), spoke: Notify::new() });
+                    open = Some(self.open(place.clone()));
+                }
+                fault = ended(&mut open) => {
+                    if !self.failing.replace(true) {
                         log::warn!("the list's watch ended, the last list holds: {fault}");
                     }
                     self.tray.call(|exchange| exchange.list_failed()).await;
-                    ask.notified().await;
                 }
+                () = place.spoke.notified() => former = None,
+                _ = ended(&mut former) => {}
                 // Asked again while none has answered: that call is given up.
-                () = ask.notified() => {}
+                () = self.ask.notified() => open = Some(self.open(place.clone())),
             }
         }
     }
 
     /// One watch, until it ends.
-    async fn watch(&mut self, failing: &mut bool) -> Fault {
-        match self.lines(failing).await {
-            Err(fault) => fault,
-            Ok(()) => Fault::Malformed("it was closed"),
-        }
+    fn open(&self, place: Rc<Place>) -> Open<'_> {
+        Box::pin(async move {
+            match self.lines(&place).await {
+                Err(fault) => fault,
+                Ok(()) => Fault::Malformed("it was closed"),
+            }
+        })
     }
 
-    async fn lines(&mut self, failing: &mut bool) -> Result<(), Fault> {
+    async fn lines(&self, place: &Place) -> Result<(), Fault> {
         let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
-        let dial = timeout(Duration::from_secs_f64(DIAL_S), TcpStream::connect(self.at));
+        let dial = timeout(Duration::from_secs_f64(DIAL_S), TcpStream::connect(place.at));
         let stream = dial.await.map_err(late)??;
         stream.set_nodelay(true)?;
-        let mut wire = Framed::new(stream, Watching::new(self.at.to_string()));
-        wire.send(AskList { after: self.after }).await?;
+        let mut wire = Framed::new(stream, Watching::new(place.at.to_string()));
+        wire.send(AskList { after: place.after.get() }).await?;
         let (mut first, mut sound) = (true, true);
         loop {
             let line = timeout(Duration::from_secs_f64(SILENT_S), next(&mut wire)).await.map_err(late)?;
@@ -177,12 +214,13 @@
                 // Guards against a change lost with a bad line: the next watch asks from before it.
                 sound = (sound || told.whole) && !told.damaged;
                 if sound {
-                    self.after = told.generation;
+                    place.after.set(told.generation);
+                    place.spoke.notify_one();
                 }
             } else if !first {
                 continue;
             }
-            if std::mem::take(&mut first) && std::mem::take(failing) {
+            if std::mem::take(&mut first) && self.failing.take() {
                 log::info!("the list is watched again");
             }
             self.tray.call(move |exchange| exchange.listed(told)).await;
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -10,6 +10,7 @@
 use clients::Door;
 use exchange::{Clock, Exchange, Parts, Tray};
 use sagetrail_policy::Dispatcher;
+use serde_json::Value;
 use start::Start;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Notify, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
@@ -41,8 +42,30 @@
     }
 }
 
+/// Reads the page again whenever told to; where the list is is all that a running process takes up.
+async fn reload(mut hup: Signal, ours: Value, list_at: watch::Sender<SocketAddr>) {
+    while hup.recv().await.is_some() {
+        match start::open() {
+            Ok(page) => {
+                let rest = start::needs_restart(&ours, &page.page);
+                if !rest.is_empty() {
+                    log::warn!("the page changed in what only a restart takes up: {}", rest.join(", "));
+                }
+                if list_at.send_if_modified(|at| std::mem::replace(at, page.list_at) != page.list_at) {
+                    log::info!("the page names another list, at {}", page.list_at);
+                }
+            }
+            Err(why) => log::warn!("the page cannot be used, the old one stays: {why}"),
+        }
+    }
+}
+
 async fn serve(start: Start) -> Result<(), String> {
     let clock = Clock::start();
+    // First of all: until someone listens to them, these end the process on the spot.
+    let listen_to = |kind| signal(kind).map_err(|error| error.to_string());
+    let (hup, mut term) = (listen_to(SignalKind::hangup())?, listen_to(SignalKind::terminate())?);
+    let mut int = listen_to(SignalKind::interrupt())?;
     let rest = start.descriptors.saturating_sub(SPARE);
     if rest < FEWEST {
         return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + FEWEST));
@@ -50,8 +73,6 @@
     let (to_runners, more) = (rest / 4, rest / 16);
     let listener = bind(start.listen, clock).await;
     let listener = listener.map_err(|error| format!("listening on {}: {error}", start.listen))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
     let (tray, calls) = Tray::new();
     let (ask_list, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
     let pool = Rc::new(runners::Pool {
@@ -61,12 +82,14 @@
         idle_s: 0.5 * start.runner_idle_s,
         runners: RefCell::default(),
     });
+    let (list_at, at) = watch::channel(start.list_at);
     let watch = list::Watch {
-        at: start.list_at,
+        at,
         names: start.names,
         tray: tray.clone(),
         ask: ask_list.clone(),
         after: start.known.generation,
+        failing: Cell::new(false),
     };
     // A second: places are taken for as long as jobs run, and those take about one.
     let come_back_s = start.terms.max_come_back_s.min(1.0);
@@ -103,6 +126,7 @@
     exchange.known(start.known);
     log::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
+    spawn_local(reload(hup, start.page, list_at));
     spawn_local(clients::listen(listener, door.clone()));
     spawn_local(exchange.run(calls));
     tokio::select! {
@@ -126,9 +150,7 @@
 }
 
 fn run() -> Result<(), String> {
-    let page = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no file".to_string())?;
-    let text = std::fs::read_to_string(&page).map_err(|error| format!("{page}: {error}"))?;
-    let start = start::read(&text).map_err(|why| format!("{page}: {why}"))?;
+    let start = start::open()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| error.to_string())?;
     LocalSet::new().block_on(&runtime, serve(start))
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -38,6 +38,24 @@
     pub drain_s: f64,
     pub most_held: usize,
     pub two_at_once: bool,
+    /// The whole of it, to compare a later one with.
+    pub page: Value,
+}
+
+/// What a later page says otherwise, and a running process does not take up. The list it was started from and
+/// the seed are for the next start anyhow.
+pub fn needs_restart(now: &Value, later: &Value) -> Vec<String> {
+    let parts = |page: &Value| page.as_object().cloned().unwrap_or_default();
+    let (ours, mut parted) = (parts(now), parts(later));
+    ours.iter().for_each(|(name, value)| match parted.get(name) == Some(value) {
+        true => drop(parted.remove(name)),
+        false => drop(parted.insert(name.clone(), Value::Null)),
+    });
+    parted
+        .into_iter()
+        .map(|(name, _)| name)
+        .filter(|name| !["discovery", "known", "seed"].contains(&&**name))
+        .collect()
 }
 
 /// The places of the zones and kinds that the list names.
@@ -82,8 +100,16 @@
     text.parse().map_err(|_| format!("{what} '{text}' is not an address and port"))
 }
 
-pub fn read(text: &str) -> Result<Start, String> {
-    let page: Page = serde_json::from_str(text).map_err(|error| error.to_string())?;
+/// The page as it stands in the file that is named at the start.
+pub fn open() -> Result<Start, String> {
+    let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no file".to_string())?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    read(&text).map_err(|why| format!("{path}: {why}"))
+}
+
+fn read(text: &str) -> Result<Start, String> {
+    let whole: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    let page = Page::deserialize(&whole).map_err(|error| error.to_string())?;
     if !page.settings.is_object() {
         return Err("settings are not an object".to_string());
     }
@@ -126,5 +152,6 @@
         drain_s: stated.seconds("Safety.StopSendingWithinUs")?,
         two_at_once: stated.yes("Limits.MayDuplicate")?,
         most_held: (or(stated.number("Limits.MostHeld")?, 10_000.0)) as usize,
+        page: whole,
     })
 }
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -250,6 +250,53 @@
     assert!(stage.list.watch().asked.contains("index=41 "), "asked again from before the flaw");
 }
 
+#[test]
+fn another_list_is_watched_before_the_old_is_let_go_and_nothing_in_hand_is_disturbed() {
+    let mut stage = Stage::start(2);
+    let (mut client, mut second) = (stage.client(), stage.client());
+    let id = client.hand_in("rerun", "7000m");
+    let (first, handed) = match stage.runners[0].poll(300) {
+        Some(handed) => (0, handed),
+        None => (1, stage.runners[1].next()),
+    };
+    handed.take();
+    let (has, other) = (&stage.runners[first], &stage.runners[1 - first]);
+    let (old, list) = (stage.list.watch(), List::start());
+    old.tell(90, false, &[]);
+    stage.reload(&stage.page.replace(&stage.list.at.to_string(), &list.at.to_string()));
+    let new = list.watch();
+    assert!(new.asked.contains("index=0 "), "versions of two lists are not alike: {}", new.asked);
+    // Until the new one speaks the old one is heard.
+    old.tell(91, false, &[has.entry("Terminating", 0)]);
+    pause(150);
+    let moved = second.hand_in("rerun", "7000m");
+    other.next().take();
+    new.tell(3, true, &[has.entry("Ready", 0), other.entry("Terminating", 0)]);
+    assert!(old.is_closed());
+    for (id, from, client) in [(&id, has, &mut client), (&moved, other, &mut second)] {
+        assert_eq!(stage.news(id, &from.name, r#""done","result":"kept""#), 204);
+        assert_eq!(client.answer().body, "kept");
+    }
+    client.hand_in("rerun", "7000m");
+    has.next().take();
+    drop(new);
+    assert!(list.watch().asked.contains("index=3 "));
+    // What cannot be used, or only by a restart, changes nothing.
+    stage.reload("{");
+    pause(100);
+    stage.reload(&stage.page.replace("read_like", "sometimes"));
+    pause(100);
+    stage.reload(&stage.page.replace(r#""sockets":1024"#, r#""sockets":512"#));
+    stage.list.watch();
+    second.hand_in("rerun", "7000m");
+    has.next();
+    stage.term();
+    let (code, log) = stage.ended();
+    assert_eq!(code, Some(0), "{log}");
+    assert_eq!(log.matches("cannot be used, the old one stays").count(), 2, "{log}");
+    assert_eq!(log.matches("only a restart takes up: limits").count(), 1, "{log}");
+}
+
 #[test]
 fn a_dispatcher_told_to_end_settles_what_it_has() {
     let mut stage = Stage::start(1);
@@ -375,7 +422,7 @@
         (good.replace(r#""listen":"127.0.0.1"#, r#""listen":"192.0.2.1"#), "listening on"),
     ];
     for (page, with) in cases {
-        let (code, log) = ended(&mut launch(&page));
+        let (code, log) = ended(&mut launch(&file(), &page));
         assert_eq!(code, Some(1), "{log}");
         assert!(log.contains(with) && log.lines().count() == 1, "'{log}' does not say '{with}'");
     }
--- a/crates/sagetrail/tests/stage/mod.rs
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -2,6 +2,7 @@
 //! bounded.
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -73,13 +74,17 @@
     pub fn close(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).unwrap();
     }
-    /// The other side has closed.
     pub fn is_closed(&self) -> bool {
-        self.stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
-        matches!(self.stream.peek(&mut [0]), Ok(0))
+        is_closed(&self.stream)
     }
 }
 
+/// The other side closes, or has closed.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    matches!(stream.peek(&mut [0]), Ok(0))
+}
+
 /// A runner: what it is handed comes out here.
 pub struct Runner {
     pub name: String,
@@ -149,7 +154,7 @@
 }
 
 impl List {
-    fn start() -> List {
+    pub fn start() -> List {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let (give, watches) = channel();
@@ -177,6 +182,9 @@
         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
         (&self.stream).write_all(chunk.as_bytes()).unwrap();
     }
+    pub fn is_closed(&self) -> bool {
+        is_closed(&self.stream)
+    }
     pub fn tell(&self, generation: u64, whole: bool, entries: &[String]) {
         let entries = entries.join(",");
         self.say(&format!(r#"{{"generation":{generation},"reset":{whole},"instances":[{entries}]}}"#));
@@ -216,6 +224,8 @@
 /// The program, started and ready, with its list and runners.
 pub struct Stage {
     pub child: Child,
+    pub page: String,
+    file: PathBuf,
     pub at: SocketAddr,
     pub list: List,
     pub runners: Vec<Runner>,
@@ -228,12 +238,15 @@
     }
 }
 
-pub fn launch(page: &str) -> Child {
+pub fn file() -> PathBuf {
     let n = IDS.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("sagetrail-{}-{n}.json", std::process::id()));
-    std::fs::write(&path, page).unwrap();
+    std::env::temp_dir().join(format!("sagetrail-{}-{n}.json", std::process::id()))
+}
+
+pub fn launch(path: &Path, page: &str) -> Child {
+    std::fs::write(path, page).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_sagetrail"));
-    command.env("RELAY_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.env("RELAY_CONFIG", path).stdout(Stdio::null()).stderr(Stdio::piped());
     command.spawn().unwrap()
 }
 
@@ -275,8 +288,8 @@
         let list = List::start();
         let known: Vec<String> = runners.iter().map(|runner| runner.entry("Ready", 0)).collect();
         let at = free();
-        let child = launch(&page(at, list.at, sockets, &known));
-        let stage = Stage { child, at, list, runners };
+        let (file, page) = (file(), page(at, list.at, sockets, &known));
+        let stage = Stage { child: launch(&file, &page), page, file, at, list, runners };
         let start = Instant::now();
         while TcpStream::connect(at).is_err() {
             assert!(start.elapsed() < LONG, "the program listens");
@@ -307,8 +320,20 @@
     }
 
     pub fn term(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another page in the place of the first and has the program read it.
+    pub fn reload(&self, page: &str) {
+        let new = file();
+        std::fs::write(&new, page).unwrap();
+        std::fs::rename(&new, &self.file).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([which, &id]).status().unwrap().success());
     }
 
     /// How the program ended, and what it logged.
