After SIGTERM a dispatcher serves its connections until the end is near

Cause: `closing` rose at SIGTERM (main.rs), so idle connections were shut and every answer said close, while nobody else was there to go to (clients.rs, `idle` and `reply.close`).

Now the end is told in two steps: /health/ready says 503 at once; connections are let go alone 0.2 s before all must be settled, with peers 2 s before.

--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -35,7 +35,9 @@
     pub tray: Tray,
     pub categories: Vec<String>,
     pub expiries: Vec<f64>,
-    /// Rises to true when the dispatcher is to end.
+    /// The dispatcher has been told to end.
+    pub ending: Cell<bool>,
+    /// Rises to true when it lets its connections go.
     pub closing: watch::Receiver<bool>,
     /// There has been a list, be it an old one.
     pub listed: Rc<Cell<bool>>,
@@ -229,7 +231,7 @@
     let path = request.target.split('?').next().unwrap_or_default();
     let looks = matches!(request.method, Method::Get | Method::Head);
     Some(match path {
-        "/health/ready" if looks && *door.closing.borrow() => Reply::new(503, "ending\n"),
+        "/health/ready" if looks && door.ending.get() => Reply::new(503, "ending\n"),
         "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
         "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
         "/_jobs/news" if request.method == Method::Post => {
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -30,6 +30,13 @@
 /// With fewer to share out, a burst would find no place.
 const FEWEST: usize = 16;
 
+/// New connections go on coming for up to 0.4 s after the word to end; twice that, for what was slow on the way.
+const COMING_S: f64 = 0.8;
+/// Connections are kept until so long before all must be settled: alone, as long as anything is taken at all,
+/// by the decisions' own margin; with peers, twice what a usual job takes.
+const LAST_S: f64 = 0.2;
+const MOVE_S: f64 = 2.0;
+
 /// Guards against a predecessor under the same address that has not quite ended.
 async fn bind(at: SocketAddr, clock: Clock) -> std::io::Result<TcpListener> {
     loop {
@@ -99,6 +106,7 @@
         categories: start.categories,
         expiries: start.expiries,
         closing,
+        ending: Cell::new(false),
         listed: has_list.clone(),
         come_back_s,
         most: rest - to_runners - more,
@@ -108,6 +116,7 @@
         idle: RefCell::default(),
         stamps: Cell::new(0),
     });
+    let alone = start.terms.replicas <= 1;
     let longest = door.expiries.iter().copied().fold(0.0, f64::max);
     let parts = Parts {
         clock,
@@ -135,12 +144,18 @@
     }
     log::info!("told to end; settling what is in hand");
     let told = clock.now();
+    door.ending.set(true);
     // The kill comes no sooner than the longest expiry, 3 s at most, and 0.7 s more.
     let end_at = told + longest.min(3.0) + 0.4;
     tray.call(move |exchange| exchange.end_by(end_at)).await;
+    // Guards against turning away whom nobody else serves: clients go on with the connections that they have
+    // as long as these stay open. Who has others to go to is sent there while nearly any job still ends here.
+    let last_call = if alone { end_at - LAST_S } else { end_at - MOVE_S };
+    while clock.now() < last_call && (clock.now() < told + COMING_S || door.open.get() > 0) {
+        sleep(Duration::from_millis(10)).await;
+    }
     let _ = close.send(true);
-    // New connections go on coming for up to 0.4 s; twice that, for what was slow on the way.
-    while clock.now() < told + 0.8 || door.busy.get() > 0 && clock.now() < end_at + 0.2 {
+    while clock.now() < told + COMING_S || door.busy.get() > 0 && clock.now() < end_at + 0.2 {
         sleep(Duration::from_millis(10)).await;
     }
     log::info!("ends with {} unanswered", door.busy.get());
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -114,7 +114,8 @@
 /// One message to a runner and the wait for its answer.
 pub struct Errand {
     message: Outgoing,
-    stop: oneshot::Receiver<()>,
+    /// None once the exchange has lost interest.
+    stop: Option<oneshot::Receiver<()>>,
     until: f64,
     ending: Ending,
 }
@@ -128,7 +129,7 @@
         let (stopper, stop) = oneshot::channel();
         let whole = Rc::new(Cell::new(false));
         let ending = Ending { tray: tray.clone(), whole: whole.clone(), tell: Some(Box::new(tell)) };
-        (Errand { message, stop, until, ending }, stopper, whole)
+        (Errand { message, stop: Some(stop), until, ending }, stopper, whole)
     }
 
     /// Writes the message and waits for the answer; true if the connection can carry another.
@@ -171,11 +172,17 @@
     }
 }
 
-/// Ends when the exchange says stop; never, if it has lost interest.
-async fn stopped(stop: &mut oneshot::Receiver<()>) {
-    if stop.await.is_err() {
-        pending().await
+/// Ends when the exchange says stop; never, if it has lost interest. Guards against asking a second time, on the
+/// connection, what was told once while that came up: a panic, and the runner's answer lost.
+async fn stopped(stop: &mut Option<oneshot::Receiver<()>>) {
+    if let Some(word) = stop {
+        let said = word.await;
+        *stop = None;
+        if said.is_ok() {
+            return;
+        }
     }
+    pending().await
 }
 
 /// Takes an errand to a runner: on an idle connection, the last used first, or on a new one.
