Dead connections and one category's failures no longer cost a whole runner

Checked, by probes that logged each hand-off's way, each idle time and each sign against a runner: - stale: connections that had rested over 0.1 s were reset at the next request, 143 of 352, within 0.1 ms; under 0.1 s none of 460.

Now: a reset on a connection that had rested is an outcome of its own, no sign against the runner, and may go straight back; the other idle connections there, which rested longer, are closed. The 202 is told to the module; what is not taken after 0.35 s is called off unless exclusive. The sequential test is also made for each category at a runner. A failed connection weighs as an error. A holder that a key's category has left is not waited for.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -4,7 +4,7 @@
 //! due, call `decide`: it visits the runners and acts through the `Host`. Before a planned end, `end_by`. The
 //! interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`) is defined in `terms.rs`.
 use crate::pcg::draw;
-use crate::ring::{median, Ring};
+use crate::ring::median;
 pub use crate::state::Dispatcher;
 use crate::state::{HandOff, Runner, Work};
 use crate::terms::*;
@@ -28,9 +28,10 @@
 const FEWEST: usize = 5;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
-
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
+/// Silence longer than this is a sign: several times what the word of taking or starting a job takes.
+const QUIET_S: f64 = 0.35;
 
 /// A work item's handle.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -43,8 +44,7 @@
         (ho.started, ho.moved) = (Some(now), now);
         let (waited, r) = (now - ho.sent, ho.runner);
         d.runners[r].heard = now;
-        let running = d.works.iter().filter_map(|w| w.out.as_ref());
-        let running = running.filter(|h| h.runner == r && h.started.is_some()).count() as f64;
+        let running = d.running(r);
         let runner = &mut d.runners[r];
         runner.most = runner.most.max(running);
         // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
@@ -55,6 +55,13 @@
         }
     }
 
+    /// The runner has said that it takes the hand-off.
+    pub fn accepted(self, d: &mut Dispatcher, now: f64, no: u16) {
+        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
+        ho.moved = ho.moved.max(now);
+        d.runners[ho.runner].took = now;
+    }
+
     /// So much of the hand-off's job is done.
     pub fn progressed(self, d: &mut Dispatcher, now: f64, no: u16, share: f64) {
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
@@ -97,7 +104,7 @@
             return d.end(host, self.0, false);
         }
         // Guards against giving the same failing runner its work straight back.
-        work.avoid = (ho.runner, now + 1.0);
+        work.avoid = (ho.runner, if outcome == Outcome::Stale { now } else { now + 1.0 });
         if !d.may_resend(self.0, now) {
             return d.end(host, self.0, true);
         }
@@ -128,10 +135,7 @@
         self.changed = true;
         self.find_home(w);
         let Work { taken, job, .. } = self.works[w as usize];
-        let mut holders = Ring::default();
-        let listed = self.chosen.iter().filter(|&&r| self.runners[r].holds(job.key, now));
-        listed.for_each(|&r| holders.push(r));
-        self.works[w as usize].holders = holders;
+        self.works[w as usize].holders = self.holders(job.key, now);
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
         // Guards against work that arrives, or comes back, with its expiry already upon it.
@@ -166,9 +170,7 @@
             self.ask_again_s = 0.3;
         }
         self.next_look = now;
-        for place in 0..self.held.len() {
-            self.find_home(self.held[place]);
-        }
+        (0..self.held.len()).for_each(|place| self.find_home(self.held[place]));
     }
 
     /// Guards against telling everybody of everything, which grows with the square of the dispatchers: who
@@ -268,10 +270,7 @@
         self.moved.clear();
         let busy = self.works.len() > self.free.len();
         let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
-        if self.wake_at <= by {
-            self.wake_at = f64::INFINITY;
-        }
-        if next < self.wake_at - 1e-6 {
+        if self.wake_at <= by || next < self.wake_at - 1e-6 {
             self.wake_at = next;
             host.wake((next - now).max(0.0));
         }
@@ -294,9 +293,7 @@
                 open.push(r);
             }
         }
-        for i in (1..open.len()).rev() {
-            open.swap(i, self.pcg.below(i + 1));
-        }
+        (1..open.len()).rev().for_each(|i| open.swap(i, self.pcg.below(i + 1)));
         if !open.is_empty() {
             self.price(&open, now);
         }
@@ -343,14 +340,13 @@
         for &w in &self.held {
             let work = &self.works[w as usize];
             let category = self.category(w);
-            let cheap = worth(work.job.category) < 0.4 * best;
             let worth = worth(work.job.category);
             // A client's repeat comes back after its first try's due time as a rule.
             let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            let spare = if (worth < 0.4 * best || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
@@ -363,7 +359,8 @@
 
     fn busy_holder(&self, w: u32) -> bool {
         let work = &self.works[w as usize];
-        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && r.resting.is_none());
+        let shunned = |r: &Runner| r.resting.is_some() || r.shunned(work.job.category, self.last_pass);
+        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && !shunned(r));
         work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
@@ -438,6 +435,7 @@
             || self.cold_size(&work.job) > runner.cold_left
             || !self.of_kind(w, r)
             || work.avoid.0 == r && now < work.avoid.1
+            || runner.shunned(work.job.category, now)
             || !self.may_go(w, r, now)
             || runner.resting.is_some() && self.category(w).repeat != Repeat::Rerunnable
         {
@@ -526,19 +524,12 @@
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
-                runner.paces.push(run / like);
-                runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
                 let lid = if now < runner.ceiling.1 + 10.0 { runner.ceiling.0 } else { f64::INFINITY };
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
-                self.runs[job.category].push(run);
-                self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
-                self.ratios.push(run / like);
-                if ho.fetches && job.key != 0 {
-                    self.fetches.push(run - expected);
-                }
+                self.measured(job, ho, run, like, expected);
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
                 // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
                 self.weigh(ho.runner, now, if run / like > slow { 1.3 } else { -0.5 });
@@ -551,26 +542,40 @@
                 // where room was believed is a mild bad sign, and ends a trial.
                 self.weigh(ho.runner, now, 1.0);
             }
-            Outcome::Error | Outcome::Reset => self.weigh(ho.runner, now, 3.0),
-            // Guards against a dead runner that is still listed: it looks idle and draws work. A well one
-            // fails to connect less than once in a thousand, ln(0.4/0.001) = 6. And where too many rest
-            // already for it to rest, it is left alone for a second all the same.
+            Outcome::Error | Outcome::Reset => {
+                self.shun(ho.runner, job.category, now, 3.0);
+                self.weigh(ho.runner, now, 3.0);
+            }
+            // Guards against a dead runner that is still listed: it looks idle and draws work. One failure
+            // alone may be the network's; it is left alone for a second even where it cannot rest.
             Outcome::NoConnection => {
                 runner.left_until = now + 1.0;
-                self.weigh(ho.runner, now, 6.0);
+                self.weigh(ho.runner, now, 3.0);
             }
-            Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => self.weigh(ho.runner, now, 0.0),
+            _ => self.weigh(ho.runner, now, 0.0),
         }
         self.runners[ho.runner].trial = false;
     }
 
+    /// The same test for one category there, which then leaves the runner for a while. Guards against one
+    /// that fails this category alone.
+    fn shun(&mut self, r: usize, category: usize, now: f64, sign: f64) {
+        let gone =
+            |r: &&usize| self.runners[**r].shunned(category, now) || self.runners[**r].resting.is_some();
+        let crowd = 2 * (self.chosen.iter().filter(gone).count() + 1) > self.chosen.len();
+        let (evidence, until) = self.runners[r].shun(category);
+        *evidence = (*evidence + sign).min(6.0);
+        if *evidence > 4.5 && !crowd {
+            (*evidence, *until) = (2.0, now + REST_S);
+        }
+    }
+
     /// The sequential test: log odds of 'unwell' (4 in 10 bad) against 'well' (3 in 100 bad). A bad sign adds
     /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then
-    /// gets a single trial. No more than half of the ready runners rest at once: then the trouble is not
-    /// theirs.
+    /// gets a single trial. At most half of the ready ones rest at once: beyond, the trouble is not theirs.
     fn weigh(&mut self, r: usize, now: f64, sign: f64) {
-        let ready = self.runners.iter().filter(|x| x.at.ready).count();
-        let resting = self.runners.iter().filter(|x| x.at.ready && x.resting.is_some()).count();
+        let ready = || self.runners.iter().filter(|x| x.at.ready);
+        let crowd = 2 * (ready().filter(|x| x.resting.is_some()).count() + 1) > ready().count();
         let runner = &mut self.runners[r];
         runner.evidence = (runner.evidence + sign).clamp(0.0, 6.0);
         if runner.resting.is_some() && runner.trial {
@@ -581,7 +586,7 @@
                 runner.rest_s = (2.0 * runner.rest_s).min(6.0);
                 runner.resting = Some(now + runner.rest_s);
             }
-        } else if runner.resting.is_none() && runner.evidence > 4.5 && 2 * (resting + 1) <= ready {
+        } else if runner.resting.is_none() && runner.evidence > 4.5 && !crowd {
             runner.resting = Some(now + runner.rest_s);
         } else if runner.evidence == 0.0 {
             runner.rest_s = REST_S;
@@ -674,18 +679,9 @@
                 self.end(host, w, true);
             }
         }
-        for peer in 0..self.peer_heard.len() {
-            // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
-            if self.peer_heard[peer].is_finite() && now > self.peer_heard[peer] + 5.0 {
-                (0..self.runners.len()).for_each(|r| self.peer_holds(now, peer, r, 0.0, None));
-                self.peer_heard[peer] = f64::NEG_INFINITY;
-            }
-        }
-        for w in 0..self.works.len() as u32 {
-            if self.works[w as usize].live && self.works[w as usize].out.is_some() {
-                self.doubt(host, w, now);
-            }
-        }
+        // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
+        self.forget_peers(now, 5.0);
+        (0..self.works.len() as u32).for_each(|w| self.doubt(host, w, now));
         let mut sized = [false; 256];
         for place in 0..self.chosen.len() {
             let r = self.chosen[place];
@@ -715,16 +711,18 @@
     fn doubt(&mut self, host: &mut impl Host, w: u32, now: f64) {
         let work = &self.works[w as usize];
         let Some(ho) = work.out.as_ref().filter(|ho| !ho.cancelled) else { return };
-        let (r, run) = (ho.runner, self.expected(&work.job));
-        // Several times what a start takes; notes of progress come on their own beat.
+        let (r, run, category) = (ho.runner, self.expected(&work.job), work.job.category);
         let quiet_s = match ho.started {
-            None if self.terms.tells_start => 0.35,
-            Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s,
-            _ => 0.35 + 3.0 * run,
+            None if self.terms.tells_start => QUIET_S,
+            Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
+            _ => QUIET_S + 3.0 * run,
         };
-        let heard = if ho.started.is_some() { ho.moved } else { ho.moved.max(self.runners[r].heard) };
+        // Guards against a hand-off never taken by a runner that is well otherwise: taking is said at once.
+        let unsaid = self.terms.tells_taking && ho.moved <= ho.sent && now > ho.sent + QUIET_S;
+        let spoke = self.runners[r].heard.max(if unsaid { self.runners[r].took } else { 0.0 });
+        let heard = if ho.started.is_some() { ho.moved } else { ho.moved.max(spoke) };
         let silent = now - heard > quiet_s * (1.0 + ho.doubts as f64);
-        let rerun = self.terms.categories[work.job.category].repeat != Repeat::Exclusive;
+        let rerun = self.terms.categories[category].repeat != Repeat::Exclusive;
         if silent {
             self.works[w as usize].out.as_mut().unwrap().doubts += 1;
             self.weigh(r, now, 2.6);
@@ -732,8 +730,11 @@
         let ho = self.works[w as usize].out.as_ref().unwrap();
         let left = if ho.share > 0.0 { (ho.moved - ho.sent) / ho.share * (1.0 - ho.share) } else { 0.0 };
         let stuck = ho.doubts > 0 && now - ho.moved > quiet_s || left > 2.0 * run && now + left > self.due(w);
-        // Only off a runner judged unwell, and only while another try can still end in time.
-        if stuck && rerun && self.runners[r].resting.is_some() && self.may_resend(w, now) {
+        // Only off a runner judged unwell, or that never took it, while another try can still end in time.
+        if unsaid {
+            self.shun(r, category, now, 6.0);
+        }
+        if (unsaid || stuck && self.runners[r].resting.is_some()) && rerun && self.may_resend(w, now) {
             self.cancel(host, w);
         }
     }
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -100,6 +100,7 @@
         queue_at: field("queue"),
         inside_at: field("inflight"),
         free_memory_at: memory,
+        tells_taking: false,
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
         may_cancel: info.yes("Limits.MayCancel")?,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -129,9 +129,13 @@
     pub pace: f64,
     pub cold_sent: VecDeque<(f64, f64)>,
     pub left_until: f64,
+    /// When it last gave a sign of a job; when it last took one.
     pub heard: f64,
+    pub took: f64,
     pub evidence: f64,
     pub resting: Option<f64>,
+    /// The evidence against it in each category, and until when that leaves it alone.
+    pub shuns: Vec<(f64, f64)>,
     pub rest_s: f64,
     pub trial: bool,
 }
@@ -172,8 +176,10 @@
             cold_sent: VecDeque::new(),
             left_until: f64::NEG_INFINITY,
             heard: f64::NEG_INFINITY,
+            took: f64::NEG_INFINITY,
             evidence: 0.0,
             resting: None,
+            shuns: Vec::new(),
             rest_s: REST_S,
             trial: false,
         }
@@ -269,6 +275,16 @@
         self.taken.push(self.known());
     }
 
+    pub fn shun(&mut self, category: usize) -> &mut (f64, f64) {
+        let count = self.shuns.len().max(category + 1);
+        self.shuns.resize(count, (0.0, f64::NEG_INFINITY));
+        &mut self.shuns[category]
+    }
+
+    pub fn shunned(&self, category: usize, now: f64) -> bool {
+        self.shuns.get(category).is_some_and(|(_, until)| now < *until)
+    }
+
     /// Slots known taken: by our own work and by the peers'.
     pub fn known(&self) -> f64 {
         self.mine + self.others
@@ -340,11 +356,50 @@
         id
     }
 
+    /// A run has come to its end: the samples of its runner, its category and the fleet.
+    pub(crate) fn measured(&mut self, job: &Job, ho: &HandOff, run: f64, like: f64, expected: f64) {
+        let runner = &mut self.runners[ho.runner];
+        runner.paces.push(run / like);
+        runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
+        let evidence = &mut runner.shun(job.category).0;
+        *evidence = (*evidence - 0.5).max(0.0);
+        self.runs[job.category].push(run);
+        self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
+        self.ratios.push(run / like);
+        if ho.fetches && job.key != 0 {
+            self.fetches.push(run - expected);
+        }
+    }
+
+    /// What peers told that have not been heard of for so long is forgotten.
+    pub(crate) fn forget_peers(&mut self, now: f64, after_s: f64) {
+        for peer in 0..self.peer_heard.len() {
+            if self.peer_heard[peer].is_finite() && now > self.peer_heard[peer] + after_s {
+                (0..self.runners.len()).for_each(|r| self.peer_holds(now, peer, r, 0.0, None));
+                self.peer_heard[peer] = f64::NEG_INFINITY;
+            }
+        }
+    }
+
     pub(crate) fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
         work.home == r || work.holders.samples().contains(&r)
     }
 
+    /// How many of our jobs run on a runner.
+    pub(crate) fn running(&self, r: usize) -> f64 {
+        let out = self.works.iter().filter_map(|w| w.out.as_ref());
+        out.filter(|ho| ho.runner == r && ho.started.is_some()).count() as f64
+    }
+
+    /// The runners in use that the key table lists for a key.
+    pub(crate) fn holders(&self, key: u32, now: f64) -> Ring<usize, 8> {
+        let mut holders = Ring::default();
+        let listed = self.chosen.iter().filter(|&&r| self.runners[r].holds(key, now));
+        listed.for_each(|&r| holders.push(r));
+        holders
+    }
+
     /// The key table's entry for a runner, also noted on what is held, so that no pass searches the tables.
     pub(crate) fn served(&mut self, now: f64, r: usize, key: u32) {
         if key == 0 {
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -41,6 +41,8 @@
     pub queue_at: Option<usize>,
     pub inside_at: Option<usize>,
     pub free_memory_at: Option<usize>,
+    /// Runners say at once that they take a hand-off, apart from its start.
+    pub tells_taking: bool,
     pub tells_start: bool,
     pub progress_s: f64,
     pub may_cancel: bool,
@@ -101,6 +103,8 @@
     Timeout,
     NoConnection,
     Reset,
+    /// The same on a connection that had rested, which may have been dead before it was used again.
+    Stale,
     Cancelled,
     Moot,
 }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -193,6 +193,69 @@
     assert!(all.iter().filter(|wi| host.sent_to(**wi).contains(&0)).count() <= 1, "a single trial");
 }
 
+#[test]
+fn a_connection_that_had_died_says_nothing_of_its_runner() {
+    let (mut d, mut host) = start(terms(), 1);
+    for _ in 0..5 {
+        let wi = host.take(&mut d, RERUNNABLE, 0);
+        host.come(&mut d, wi, 0, Outcome::Stale);
+        assert_eq!(host.sent_to(wi), [0, 0], "straight back, on another connection");
+        host.come(&mut d, wi, 1, Outcome::Stale);
+        host.come(&mut d, wi, 2, Outcome::Finished);
+        host.asked.clear();
+    }
+    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    host.come(&mut d, wi, 0, Outcome::Stale);
+    assert_eq!(host.ends(wi), [WriteOff(wi)], "it may have run");
+    assert!(host.logged.is_empty());
+}
+
+#[test]
+fn one_failed_connection_does_not_rest_a_runner() {
+    let (mut d, mut host) = start(terms(), 2);
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    host.come(&mut d, wi, 0, Outcome::NoConnection);
+    host.pass(&mut d, 0.2);
+    assert!(host.logged.is_empty());
+}
+
+#[test]
+fn a_category_leaves_a_runner_that_fails_it_alone() {
+    let (mut d, mut host) = start(terms(), 2);
+    let mut failed = 0;
+    for n in 0..20 {
+        // Most of its work of the other category ends well.
+        let category = if n % 6 == 0 { RERUNNABLE } else { TICKETED };
+        let wi = host.take(&mut d, category, 0);
+        for no in 0..3 {
+            let Some(&r) = host.sent_to(wi).get(no) else { break };
+            let bad = category == RERUNNABLE && r == 0;
+            failed += bad as usize;
+            host.come(&mut d, wi, no as u16, if bad { Outcome::Error } else { Outcome::Finished });
+        }
+        host.pass(&mut d, 0.02);
+        host.asked.clear();
+    }
+    assert_eq!(failed, 2, "two errors are enough for that category");
+    assert!(host.logged.is_empty(), "and the other one is still at home there");
+}
+
+#[test]
+fn work_that_its_runner_does_not_take_is_called_off_though_the_runner_is_well() {
+    for (category, moves) in [(RERUNNABLE, true), (EXCLUSIVE, false)] {
+        let (mut d, mut host) = start(Terms { tells_taking: true, ..terms() }, 1);
+        let [lost, well] = [0, 1].map(|_| host.take(&mut d, category, 0));
+        well.accepted(&mut d, host.now, 0);
+        well.started(&mut d, host.now, 0);
+        for _ in 0..5 {
+            host.pass(&mut d, 0.1);
+            well.progressed(&mut d, host.now, 0, 0.1);
+        }
+        assert_eq!(host.asked.contains(&Cancel(lost, 0)), moves);
+        assert!(!host.asked.contains(&Cancel(well, 0)) && host.logged.is_empty());
+    }
+}
+
 #[test]
 fn not_everyone_is_rested_at_once() {
     let (mut d, mut host) = start(terms(), 2);
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -477,6 +477,7 @@
         if let Some(out) = self.desk.out(ticket) {
             out.accepted = true;
         }
+        wi.accepted(&mut self.dispatcher, now, no);
         match word.state {
             State::Started => self.desk.starts.push_back((now, ticket)),
             State::Running { share } => wi.progressed(&mut self.dispatcher, now, no, share.clamp(0.0, 1.0)),
@@ -503,14 +504,15 @@
                 if off {
                     self.desk.call_off(ticket, Some(Outcome::Cancelled));
                 }
-                return;
+                return ticket.wi.accepted(&mut self.dispatcher, self.desk.now, ticket.no);
             }
             Ok(Answer { status: 503 | 504, declined: true, .. }) => Outcome::Full,
             Ok(_) => Outcome::Error,
             Err(Broken::Unsent) => Outcome::Moot,
             Err(Broken::Unreached) => Outcome::NoConnection,
-            Err(Broken::Unanswered) if off => Outcome::Cancelled,
+            Err(Broken::Unanswered | Broken::Stale) if off => Outcome::Cancelled,
             Err(Broken::Unanswered) => Outcome::Reset,
+            Err(Broken::Stale) => Outcome::Stale,
         };
         self.ended(ticket, outcome);
     }
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -25,6 +25,8 @@
     Unreached,
     /// Written whole, and no answer came.
     Unanswered,
+    /// The same on a connection that had rested.
+    Stale,
 }
 
 /// A runner, as far as sockets go.
@@ -133,7 +135,7 @@
     }
 
     /// Writes the message and waits for the answer; true if the connection can carry another.
-    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, clock: &Clock) -> bool {
+    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, clock: &Clock, rested: bool) -> bool {
         let now = clock.now();
         let mut message = self.message.clone();
         if let Outgoing::Work { wait_s, .. } = &mut message {
@@ -150,6 +152,11 @@
             whole.set(true);
             match next(wire).await {
                 Some(Ok(answer)) => Ok(answer),
+                _ if rested => {
+                    // Guards against one dead connection after another: the other idle ones rested longer.
+                    runner.drop_idle();
+                    Err(Broken::Stale)
+                }
                 _ => Err(Broken::Unanswered),
             }
         };
@@ -234,8 +241,10 @@
     pool: Rc<Pool>, runner: Rc<Runner>, mut wire: Wire, _permit: OwnedSemaphorePermit, mut errand: Errand,
 ) {
     let address = runner.address.get();
-    while errand.carry(&mut wire, &runner, &pool.clock).await && address == runner.address.get() {
+    let mut rested = false;
+    while errand.carry(&mut wire, &runner, &pool.clock, rested).await && address == runner.address.get() {
         drop(errand);
+        rested = true;
         let (idle, mut rest) = oneshot::channel();
         {
             let mut resting = runner.idle.borrow_mut();
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -527,6 +527,50 @@
     assert_eq!(stage.runners[0].connections(), 1, "the other idle one was not trusted");
 }
 
+#[test]
+fn a_kept_connection_that_died_costs_one_more_and_no_verdict() {
+    let mut stage = Stage::start(2);
+    let mut client = stage.client();
+    let mut id = client.hand_in("rerun", "6000m");
+    let (at, first) = match stage.runners[0].poll(200) {
+        Some(handed) => (0, handed),
+        None => (1, stage.runners[1].next()),
+    };
+    first.take();
+    for _ in 0..6 {
+        assert_eq!(stage.news(&id, &stage.runners[at].name, r#""done","result":"a""#), 204);
+        assert_eq!(client.answer().status(), 200);
+        id = client.hand_in("rerun", "6000m");
+        stage.runners[at].next().close();
+        let again = stage.runners[at].next();
+        assert_eq!(again.message.header("req-id"), Some(id.as_str()));
+        again.take();
+    }
+    assert_eq!(stage.runners[at].connections(), 7);
+    stage.child.kill().unwrap();
+    assert!(!stage.ended().1.contains("unwell"));
+}
+
+#[test]
+fn work_on_a_connection_that_fell_silent_goes_elsewhere() {
+    let stage = Stage::start(2);
+    let (mut one, mut two) = (stage.client(), stage.client());
+    let lost = one.hand_in("rerun", "6000m");
+    let (at, silent) = match stage.runners[0].poll(100) {
+        Some(handed) => (0, handed),
+        None => (1, stage.runners[1].next()),
+    };
+    // On another connection the same runner works on.
+    let id = two.hand_in("rerun", "6000m");
+    stage.runners[at].next().take();
+    let again = (0..8).find_map(|_| {
+        stage.news(&id, &stage.runners[at].name, r#""running","share":0.1"#);
+        stage.runners[1 - at].poll(100)
+    });
+    assert_eq!(again.expect("it is handed out again").message.header("req-id"), Some(lost.as_str()));
+    assert!(silent.is_closed(), "which gives the first up");
+}
+
 #[test]
 fn peers_that_fall_silent_are_not_waited_for() {
     let stage = Stage::start(1);
