Waits behind own jobs are no silence; a slot taken in passing lowers the cap for 1 s

Seen there: a full runner's wait behind our own long jobs counted as silence (doubt, QUIET_S), news of a start told twice counted as a late one (Wi::started), the cap held down for 10 s by a slot that a lost job held, and a trial that ran on kept its runner from any other (weigh, has_room). A story for each.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,18 +40,19 @@
 impl Wi {
     /// The hand-off's job has started.
     pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
-        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
+        let first = |ho: &&mut HandOff| ho.no == no && ho.started.is_none(); // News may come twice.
+        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(first) else { return };
         (ho.started, ho.moved) = (Some(now), now);
-        let (waited, r) = (now - ho.sent, ho.runner);
-        d.runners[r].heard = now;
-        let running = d.running(r);
-        let runner = &mut d.runners[r];
-        runner.most = runner.most.max(running);
-        // Guards against a cap that grew past the slots: with no 'full' before a long queue, a wait for the
-        // start is the first sign, and counts as a soft 'full'.
-        if !d.terms.reports_in_answers && waited > PROMPT_S && running < runner.cap {
-            runner.cap = running.max(1.0);
-            runner.ceiling = (runner.cap, now);
+        let (waited, runner) = (now - ho.sent, &mut d.runners[ho.runner]);
+        runner.heard = now;
+        runner.running += 1.0;
+        runner.most = runner.most.max(runner.running);
+        // Guards against a cap past the slots: with no 'full' before a long queue, a late start is the first
+        // sign, a soft 'full'. Where more of ours ran before and nobody else sends, a lost job runs on.
+        if !d.terms.reports_in_answers && waited > PROMPT_S && runner.running < runner.cap {
+            let passing = d.terms.replicas == 1 && runner.running < runner.most;
+            runner.cap = runner.running;
+            runner.ceiling = (runner.cap, now + if passing { 1.0 } else { 10.0 });
         }
     }
 
@@ -86,7 +87,7 @@
         let work = &mut d.works[self.0 as usize];
         let Some(ho) = work.out.take_if(|ho| ho.no == no) else { return };
         let job = work.job;
-        d.runners[ho.runner].load(&job, -1.0);
+        d.runners[ho.runner].unload(&job, &ho);
         d.moved.push(ho.runner);
         d.report(ho.runner, now, report);
         d.changed = true;
@@ -166,8 +167,7 @@
         }
         self.choose();
         if self.terms.asks_for_list && news != News::Cached {
-            self.next_ask = f64::INFINITY;
-            self.ask_again_s = 0.3;
+            (self.next_ask, self.ask_again_s) = (f64::INFINITY, 0.3);
         }
         self.next_look = now;
         (0..self.held.len()).for_each(|place| self.find_home(self.held[place]));
@@ -392,7 +392,7 @@
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
         }
-        runner.trial |= runner.resting.is_some();
+        runner.trial = runner.resting.map(|_| now + runner.rest_s);
         work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         host.hand_off(Wi(w), r, work.job.expiry);
@@ -416,7 +416,7 @@
         if !runner.at.ready
             || runner.cold_left <= self.fetch_s
             || now < runner.left_until
-            || runner.resting.is_some_and(|t| now < t || runner.trial)
+            || runner.resting.is_some_and(|t| now < t.max(runner.trial.unwrap_or(t)))
         {
             return false;
         }
@@ -525,7 +525,7 @@
             Outcome::Finished => {
                 runner.heard = now;
                 let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
-                let lid = if now < runner.ceiling.1 + 10.0 { runner.ceiling.0 } else { f64::INFINITY };
+                let lid = if now < runner.ceiling.1 { runner.ceiling.0 } else { f64::INFINITY };
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
@@ -538,8 +538,7 @@
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
-                // Guards against a runner that hangs with a full queue, or works on for others unseen: 'full'
-                // where room was believed is a mild bad sign, and ends a trial.
+                // Guards against a runner full of others' work, or hung with a full queue: a mild bad sign.
                 self.weigh(ho.runner, now, 1.0);
             }
             Outcome::Error | Outcome::Reset => {
@@ -554,7 +553,7 @@
             }
             _ => self.weigh(ho.runner, now, 0.0),
         }
-        self.runners[ho.runner].trial = false;
+        self.runners[ho.runner].trial = None;
     }
 
     /// The same test for one category there, which then leaves the runner for a while. Guards against one
@@ -572,16 +571,15 @@
 
     /// The sequential test: log odds of 'unwell' (4 in 10 bad) against 'well' (3 in 100 bad). A bad sign adds
     /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then
-    /// gets a single trial. At most half of the ready ones rest at once: beyond, the trouble is not theirs.
+    /// gets a trial, and another after each rest. At most half rest at once: beyond, it is not their trouble.
     fn weigh(&mut self, r: usize, now: f64, sign: f64) {
         let ready = || self.runners.iter().filter(|x| x.at.ready);
         let crowd = 2 * (ready().filter(|x| x.resting.is_some()).count() + 1) > ready().count();
         let runner = &mut self.runners[r];
         runner.evidence = (runner.evidence + sign).clamp(0.0, 6.0);
-        if runner.resting.is_some() && runner.trial {
+        if runner.resting.is_some() && runner.trial.is_some() {
             if sign < 0.0 {
-                runner.resting = None;
-                runner.evidence = 2.0;
+                (runner.resting, runner.evidence) = (None, 2.0);
             } else if sign > 0.0 {
                 runner.rest_s = (2.0 * runner.rest_s).min(6.0);
                 runner.resting = Some(now + runner.rest_s);
@@ -712,8 +710,10 @@
         let work = &self.works[w as usize];
         let Some(ho) = work.out.as_ref().filter(|ho| !ho.cancelled) else { return };
         let (r, run, category) = (ho.runner, self.expected(&work.job), work.job.category);
+        // Guards against taking a wait behind our own long jobs for silence.
+        let full = self.runners[r].running >= self.runners[r].most.max(1.0);
         let quiet_s = match ho.started {
-            None if self.terms.tells_start => QUIET_S,
+            None if self.terms.tells_start && !full => QUIET_S,
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -120,8 +120,10 @@
     /// What a warm runner of its kind does; kept up only while some are cold.
     pub capacity: f64,
     pub cap: f64,
-    /// The most of our jobs that ran there at once.
+    /// How many of our jobs run there, and the most that did at once.
+    pub running: f64,
     pub most: f64,
+    /// What the cap may not pass, and until when.
     pub ceiling: (f64, f64),
     pub keys: Ring<(u32, f64), KEYS>,
     /// How long its last work took beside what was expected, and the median.
@@ -137,7 +139,8 @@
     /// The evidence against it in each category, and until when that leaves it alone.
     pub shuns: Vec<(f64, f64)>,
     pub rest_s: f64,
-    pub trial: bool,
+    /// Until when its trial is waited for before another.
+    pub trial: Option<f64>,
 }
 
 impl Runner {
@@ -168,6 +171,7 @@
             reported: f64::NEG_INFINITY,
             capacity: CAP_START,
             cap: CAP_START,
+            running: 0.0,
             most: 0.0,
             ceiling: (f64::INFINITY, f64::NEG_INFINITY),
             keys: Ring::default(),
@@ -181,7 +185,7 @@
             resting: None,
             shuns: Vec::new(),
             rest_s: REST_S,
-            trial: false,
+            trial: None,
         }
     }
 
@@ -189,7 +193,7 @@
         let old = std::mem::replace(self, Runner::new());
         (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
         (self.others, self.rank, self.sharers) = (old.others, old.rank, old.sharers);
-        self.cold_sent = old.cold_sent;
+        (self.cold_sent, self.running) = (old.cold_sent, old.running);
     }
 }
 
@@ -271,6 +275,12 @@
         self.memory += sign * job.memory;
     }
 
+    /// A hand-off has come back.
+    pub fn unload(&mut self, job: &Job, ho: &HandOff) {
+        self.load(job, -1.0);
+        self.running -= if ho.started.is_some() { 1.0 } else { 0.0 };
+    }
+
     pub fn sample_taken(&mut self) {
         self.taken.push(self.known());
     }
@@ -386,12 +396,6 @@
         work.home == r || work.holders.samples().contains(&r)
     }
 
-    /// How many of our jobs run on a runner.
-    pub(crate) fn running(&self, r: usize) -> f64 {
-        let out = self.works.iter().filter_map(|w| w.out.as_ref());
-        out.filter(|ho| ho.runner == r && ho.started.is_some()).count() as f64
-    }
-
     /// The runners in use that the key table lists for a key.
     pub(crate) fn holders(&self, key: u32, now: f64) -> Ring<usize, 8> {
         let mut holders = Ring::default();
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -210,6 +210,82 @@
     assert!(host.logged.is_empty());
 }
 
+#[test]
+fn a_wait_behind_long_jobs_of_our_own_is_no_silence() {
+    let (mut d, mut host) = start(terms(), 2);
+    let [long, next] = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 42));
+    assert_eq!(host.sent_to(long), host.sent_to(next));
+    long.started(&mut d, host.now, 0);
+    host.pass(&mut d, 1.0);
+    assert!(!host.asked.contains(&Cancel(next, 0)) && host.logged.is_empty());
+}
+
+#[test]
+fn a_start_told_twice_is_one_start_and_in_time() {
+    let (mut d, mut host) = start(terms(), 1);
+    let both = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 0));
+    both.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+    host.asked.clear();
+    let first = host.take(&mut d, RERUNNABLE, 0);
+    first.started(&mut d, host.now, 0);
+    host.now += 0.2;
+    first.started(&mut d, host.now, 0);
+    let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
+    assert_eq!(all.map(|wi| host.sent_to(wi).len()), [1, 1, 0], "three slots, as before");
+}
+
+#[test]
+fn a_slot_that_a_lost_job_holds_is_ours_again_soon() {
+    let (mut d, mut host) = start(terms(), 1);
+    let run = |d: &mut Dispatcher, host: &mut Fake, late: f64| {
+        let all = [0, 1, 2].map(|_| host.take(d, RERUNNABLE, 0));
+        let out: Vec<Wi> = all.into_iter().filter(|wi| !host.sent_to(*wi).is_empty()).collect();
+        out[1..].iter().for_each(|wi| wi.started(d, host.now, 0));
+        host.now += late;
+        out[0].started(d, host.now, 0);
+        all.iter().for_each(|wi| host.come(d, *wi, 0, Outcome::Finished));
+        host.asked.clear();
+        out.len()
+    };
+    assert_eq!([run(&mut d, &mut host, 0.0), run(&mut d, &mut host, 0.0)], [2, 3]);
+    let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
+    // A lost job holds one of the three slots: two start, the third only when one of them has ended.
+    all[..2].iter().for_each(|wi| wi.started(&mut d, host.now, 0));
+    host.now += 0.2;
+    host.come(&mut d, all[0], 0, Outcome::Finished);
+    all[2].started(&mut d, host.now, 0);
+    all[1..].iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+    host.asked.clear();
+    host.now += 1.5;
+    assert_eq!([run(&mut d, &mut host, 0.0), run(&mut d, &mut host, 0.0)], [2, 3], "not only after 10 s");
+}
+
+#[test]
+fn a_trial_that_runs_on_lets_another_follow() {
+    let (mut d, mut host) = start(terms(), 2);
+    for category in [RERUNNABLE, EXCLUSIVE, RERUNNABLE, EXCLUSIVE] {
+        for wi in [0, 1].map(|_| host.take(&mut d, category, 0)) {
+            if host.sent_to(wi) == [0] {
+                host.come(&mut d, wi, 0, Outcome::Error);
+            }
+            if host.ends(wi).is_empty() {
+                host.come(&mut d, wi, host.sent_to(wi).len() as u16 - 1, Outcome::Finished);
+            }
+        }
+        host.asked.clear();
+    }
+    host.pass(&mut d, 1.6);
+    let trials = |host: &Fake| host.asked.iter().filter(|a| matches!(a, HandOff(_, 0))).count();
+    let all: Vec<Wi> = (0..8).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+    let trial = all.into_iter().find(|wi| host.sent_to(*wi) == [0]).unwrap();
+    trial.started(&mut d, host.now, 0);
+    host.pass(&mut d, 0.5);
+    assert_eq!(trials(&host), 1, "it rested");
+    host.pass(&mut d, 1.2);
+    host.take(&mut d, RERUNNABLE, 0);
+    assert_eq!(trials(&host), 2);
+}
+
 #[test]
 fn one_failed_connection_does_not_rest_a_runner() {
     let (mut d, mut host) = start(terms(), 2);
