--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,13 +17,8 @@
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
 pub const CAP_START: f64 = 2.0;
-/// So many dispatchers share a runner, and tell each other of it: ten told (with the margin of `share`),
-/// twice a work item, a telling and its delivery, stay at the wire's bound of 40 actions.
+/// So many dispatchers share a runner: few enough that the cap of each finds its part of the slots.
 const SHARERS: f64 = 8.0;
-/// Guards against a flood where runners are too few for that: the wire's bounds are 40 actions a work item
-/// and 4 million a day of about a minute, and a telling counts twice.
-const TELL_EACH_WI: f64 = 18.0;
-const TELL_EACH_S: f64 = 35e3;
 /// At least so many runners of a kind are used: one may be cold and one unwell.
 const FEWEST: usize = 5;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
@@ -49,7 +44,7 @@
         runner.most = runner.most.max(runner.running);
         // Guards against a cap past the slots: with no 'full' before a long queue, a late start is the first
         // sign, a soft 'full'. Where more of ours ran before and nobody else sends, a lost job runs on.
-        if !d.terms.reports_in_answers && waited > PROMPT_S && runner.running < runner.cap {
+        if waited > PROMPT_S && runner.running < runner.cap {
             let passing = d.terms.replicas == 1 && runner.running < runner.most;
             runner.cap = runner.running;
             runner.ceiling = (runner.cap, now + if passing { 1.0 } else { 10.0 });
@@ -79,17 +74,12 @@
     }
 
     /// A hand-off has come back.
-    pub fn outcome(
-        self, d: &mut Dispatcher, host: &mut impl Host, no: u16, outcome: Outcome, settled: bool,
-        report: Report,
-    ) {
+    pub fn outcome(self, d: &mut Dispatcher, host: &mut impl Host, no: u16, outcome: Outcome, settled: bool) {
         let now = host.now();
         let work = &mut d.works[self.0 as usize];
         let Some(ho) = work.out.take_if(|ho| ho.no == no) else { return };
         let job = work.job;
         d.runners[ho.runner].unload(&job, &ho);
-        d.moved.push(ho.runner);
-        d.report(ho.runner, now, report);
         d.changed = true;
         d.learn(&job, &ho, now, outcome);
         let work = &mut d.works[self.0 as usize];
@@ -117,7 +107,6 @@
     /// Takes a work item of a known category; it is held until `decide` finds it a runner.
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
-        self.may_tell += TELL_EACH_WI;
         let id = self.place(Work::new(job, now));
         self.hold(now, id);
         Some(Wi(id))
@@ -127,7 +116,7 @@
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
     fn find_home(&mut self, w: u32) {
         let Work { job, .. } = self.works[w as usize];
-        let able = self.chosen.iter().copied().filter(|&r| !self.terms.peers && self.of_kind(w, r));
+        let able = self.chosen.iter().copied().filter(|&r| self.of_kind(w, r));
         let home = able.max_by_key(|&r| draw(job.key as u64, self.runners[r].at.id));
         self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
     }
@@ -173,9 +162,9 @@
         (0..self.held.len()).for_each(|place| self.find_home(self.held[place]));
     }
 
-    /// Guards against telling everybody of everything, which grows with the square of the dispatchers: who
-    /// cannot keep up with all runners uses those ranking highest in a hash of its own number and theirs; as
-    /// many, by themselves, of a kind that some category needs.
+    /// Guards against hundreds of connections, and caps that see too little of a runner each: who cannot use
+    /// all runners uses those ranking highest in a hash of its own number and theirs; as many, by themselves,
+    /// of a kind that some category needs.
     fn choose(&mut self) {
         let part = (SHARERS / self.terms.replicas as f64).min(1.0);
         let (runners, categories) = (&self.runners, &self.terms.categories);
@@ -189,25 +178,19 @@
             // Guards against the CPU of visiting hundreds: 32 are choice enough, unless few share them.
             let enough = 32.max(2 * len / self.terms.replicas);
             let most = ((part * len as f64).ceil() as usize).min(enough).max(FEWEST).min(len);
-            rest[..most].iter().for_each(|&r| self.share(r, most as f64 / len as f64));
+            rest[..most].iter().for_each(|&r| self.share(r));
             self.chosen.extend(&rest[..most]);
             rest = &rest[len..];
         }
         self.chosen.sort_unstable();
     }
 
-    /// Which peers are told of a runner in use: those where it ranks high enough to be used, and a quarter
-    /// more, since ranks among few runners lie unevenly.
-    fn share(&mut self, r: usize, part: f64) {
+    /// Our part of what a cold runner may be sent. An even part among many is under any work item's size, so
+    /// the parts halve along the ranks, 1/2, 1/4 and so on, the last twice: the whole at most, whoever comes.
+    fn share(&mut self, r: usize) {
         let (me, replicas, runner) = (self.terms.me, self.terms.replicas, &mut self.runners[r]);
-        let lowest = (1.0 - 1.25 * part) * u64::MAX as f64;
-        let theirs = |peer: &usize| draw(*peer as u64, runner.at.id);
-        let peers = || (0..replicas).filter(|&peer| peer != me);
-        let ahead = peers().filter(|peer| theirs(peer) > runner.rank).count();
-        let uses = peers().filter(|peer| theirs(peer) as f64 >= lowest).map(|peer| peer as u16);
-        runner.sharers = (lowest > 0.0).then(|| uses.collect());
-        // An even part among many is under any work item's size. So the parts of what a cold runner may be
-        // sent halve along the ranks, 1/2, 1/4 and so on, the last twice: the whole at most, whoever comes.
+        let before = |peer: &usize| *peer != me && draw(*peer as u64, runner.at.id) > runner.rank;
+        let ahead = (0..replicas).filter(before).count();
         runner.cold_part = 0.5f64.powi((ahead + 1).min(replicas - 1) as i32);
     }
 
@@ -223,30 +206,6 @@
         self.next_look = self.next_look.min(at - 2.0 * LOOK_S);
     }
 
-    /// A peer tells how many slots of a runner its own work holds.
-    pub fn peer_holds(&mut self, now: f64, peer: usize, runner: usize, slots: f64, strange: Option<i8>) {
-        let Some(runner) = self.runners.get_mut(runner) else { return };
-        if let Some(heard) = self.peer_heard.get_mut(peer) {
-            *heard = now;
-            if let Some(strange) = strange {
-                runner.found(now, strange as f64);
-            }
-            let freed = runner.peer_holds(peer, slots) < 0.0;
-            // A peer's freed slot is news for every dispatcher at once. With much held, a pass for each would
-            // cost all of them dear; own outcomes pass at once, so 30 ms later is soon enough.
-            self.changed |= freed && now > self.last_pass + 0.03;
-        }
-    }
-
-    /// A peer's work with this key was finished there. Guards against a key table too thin to act on.
-    pub fn peer_served(&mut self, now: f64, runner: usize, key: u32) {
-        if runner < self.runners.len() {
-            // Guards against judging a runner with a long queue hung, and its work called off and sent twice.
-            self.runners[runner].heard = now;
-            self.served(now, runner, key);
-        }
-    }
-
     /// Looks at what has become due, then visits the runners. Call once after each batch of news.
     pub fn decide(&mut self, host: &mut impl Host) {
         let now = host.now();
@@ -264,10 +223,6 @@
         if std::mem::take(&mut self.changed) {
             self.pass(host);
         }
-        if self.terms.peers {
-            self.tell(host);
-        }
-        self.moved.clear();
         let busy = self.works.len() > self.free.len();
         let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
         if self.wake_at <= by || next < self.wake_at - 1e-6 {
@@ -287,7 +242,7 @@
         let mut open = std::mem::take(&mut self.open);
         open.clear();
         for &r in &self.chosen {
-            self.runners[r].room = self.room(r, now);
+            self.runners[r].room = self.room(r);
             self.runners[r].cold_left = self.cold_left(r, now);
             if self.has_room(r, now) {
                 open.push(r);
@@ -332,17 +287,14 @@
         let due_s = |w: u32| self.category(w).due_s;
         let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
-        let worth = |n: usize| {
-            let size = if self.terms.payoff_by_work { 1.0 } else { self.usual[n].max(1e-3) };
-            self.terms.categories[n].payoff / size
-        };
+        let worth = |n: usize| self.terms.categories[n].payoff / self.usual[n].max(1e-3);
         let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
         for &w in &self.held {
             let work = &self.works[w as usize];
             let category = self.category(w);
             let worth = worth(work.job.category);
             // A client's repeat comes back after its first try's due time as a rule.
-            let late = work.job.repeat || now + self.pace * self.like(&work.job) > self.due(w);
+            let late = work.job.repeat || now + self.pace * self.expected(&work.job) > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
@@ -396,19 +348,13 @@
         work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         host.hand_off(Wi(w), r, work.job.expiry);
-        self.moved.push(r);
     }
 
     // ---- room ----
 
-    fn room(&self, r: usize, now: f64) -> f64 {
+    fn room(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        // Guards against taking a runner that never answered us, full of others' work, for an empty one.
-        match runner.slots.or(runner.alike) {
-            // Guards against work that nobody counts and that runs on: called off, or a dead dispatcher's.
-            Some(slots) => (slots - runner.known() - runner.strange_at(now)).round(),
-            _ => runner.cap.floor() - runner.known(),
-        }
+        runner.cap.floor() - runner.mine
     }
 
     fn has_room(&self, r: usize, now: f64) -> bool {
@@ -420,10 +366,7 @@
         {
             return false;
         }
-        // One job of any size fits where none of ours is, but not where a report under 1 s old, or the peers,
-        // say it is full: with many dispatchers a full runner is mostly full of others' work.
-        let told = self.terms.peers && runner.slots.or(runner.alike).is_some() || now < runner.reported + 1.0;
-        runner.room >= 1.0 || runner.mine <= 0.0 && !told
+        runner.room >= 1.0 || runner.mine <= 0.0
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
@@ -441,8 +384,7 @@
         {
             return false;
         }
-        let room = work.job.slots <= runner.room && work.job.memory <= runner.all_memory - runner.memory;
-        room || runner.mine <= 0.0
+        work.job.slots <= runner.room || runner.mine <= 0.0
     }
 
     /// What may still be sent. Guards against pushing over a runner that has just started: the work sent to
@@ -472,53 +414,22 @@
     /// one is what they have at the least. 0.75 since slots may outnumber cores.
     fn size_up(&mut self, kind: u8, now: f64) {
         let like = || self.chosen.iter().map(|&r| &self.runners[r]).filter(|r| r.at.kind == kind);
-        let alike = median(like().filter_map(|r| r.slots));
         let most = like().map(|r| r.most).fold(CAP_START, f64::max);
         let warm = like().filter(|r| now > r.at.born + self.terms.cold_s);
-        let capacity = 0.75 * alike.unwrap_or(most) / median(warm.map(|r| r.pace)).unwrap_or(1.0);
+        let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
         for &r in &self.chosen {
             let runner = &mut self.runners[r];
             if runner.at.kind == kind {
-                (runner.capacity, runner.alike) = (capacity, alike);
+                runner.capacity = capacity;
             }
         }
     }
 
-    fn report(&mut self, r: usize, now: f64, report: Report) {
-        let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
-        let (free, queue) = (figure(self.terms.free_slots_at), figure(self.terms.queue_at));
-        let (inside, memory) = (figure(self.terms.inside_at), figure(self.terms.free_memory_at));
-        let taken = self.runners[r].taken.mean().unwrap_or_else(|| self.runners[r].known());
-        let runner = &mut self.runners[r];
-        runner.free_memory(memory);
-        let Some(free) = free else { return };
-        runner.reported = now;
-        if !runner.is_news(report) {
-            return;
-        }
-        if let Some(inside) = inside {
-            runner.found(now, inside - taken);
-            runner.fresh = Some((inside - taken).round().clamp(-9.0, 99.0) as i8);
-        }
-        // Guards against late reports: what was free then is set against what was taken about then (the mean
-        // of the last second), not now, or every rise in work out would read as more slots and feed itself. A
-        // report that tells the work inside needs no such pairing. None free and no queue told says nothing
-        // of slots.
-        let slots = match (inside, queue) {
-            (Some(inside), _) if free >= 0.5 => free + inside,
-            (None, Some(queue)) => free - queue + taken,
-            (None, None) if free >= 0.5 => free + taken,
-            _ => return,
-        };
-        runner.seen_slots.push(slots.max(1.0));
-        runner.slots = runner.seen_slots.quantile(0.5);
-    }
-
     // ---- what an outcome teaches ----
 
     fn learn(&mut self, job: &Job, ho: &HandOff, now: f64, outcome: Outcome) {
         let run = now - ho.started.unwrap_or(ho.sent);
-        let (like, expected) = (self.like(job), self.expected(job));
+        let expected = self.expected(job);
         let slow = self.slow_ratio();
         let runner = &mut self.runners[ho.runner];
         match outcome {
@@ -529,12 +440,11 @@
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
-                self.measured(job, ho, run, like, expected);
+                self.measured(job, ho, run, expected);
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
                 // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
-                self.weigh(ho.runner, now, if run / like > slow { 1.3 } else { -0.5 });
+                self.weigh(ho.runner, now, if run / expected > slow { 1.3 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
-                self.runners[ho.runner].last_key = job.key;
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
@@ -599,13 +509,7 @@
     }
 
     fn expected(&self, job: &Job) -> f64 {
-        job.hint.unwrap_or_else(|| self.usual[job.category])
-    }
-
-    /// What a run is compared with: fetching its key costs a small job a part of a usual one.
-    fn like(&self, job: &Job) -> f64 {
-        let usual = self.usual[job.category];
-        job.hint.map_or(usual, |hint| hint + 0.25 * usual).max(1e-3)
+        self.usual[job.category].max(1e-3)
     }
 
     fn due(&self, w: u32) -> f64 {
@@ -677,8 +581,6 @@
                 self.end(host, w, true);
             }
         }
-        // A peer not heard of for 5 s, over twice the time between its full tellings, no longer counts.
-        self.forget_peers(now, 5.0);
         (0..self.works.len() as u32).for_each(|w| self.doubt(host, w, now));
         let mut sized = [false; 256];
         for place in 0..self.chosen.len() {
@@ -687,7 +589,6 @@
             if !std::mem::replace(&mut sized[at.kind as usize], true) {
                 self.size_up(at.kind, now);
             }
-            self.runners[r].sample_taken();
             if self.runners[r].resting.is_some_and(|until| until - self.runners[r].rest_s > now - LOOK_S) {
                 host.log(r, "judged unwell, rests");
             }
@@ -697,7 +598,7 @@
     /// Until when a held work item is worth holding.
     fn patience(&self, w: u32) -> f64 {
         let work = &self.works[w as usize];
-        let (due, run) = (self.due(w), self.pace * self.like(&work.job));
+        let (due, run) = (self.due(w), self.pace * self.expected(&work.job));
         // Where late pays nothing, it ends with the last start that a long run would still make in time.
         let late_pays = self.category(w).tardy > 0.0;
         let last = if late_pays { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
@@ -738,33 +639,6 @@
             self.cancel(host, w);
         }
     }
-
-    /// The peers that share a runner hear how many of its slots this dispatcher's work holds, whenever that
-    /// changes, and the key of what it has just finished; the slots again every 2 s, so that a lost message
-    /// does not stand.
-    fn tell(&mut self, host: &mut impl Host) {
-        let (now, peers) = (host.now(), self.terms.replicas - 1);
-        let whole = now >= self.next_tell;
-        if whole {
-            self.may_tell +=
-                TELL_EACH_S / self.terms.replicas as f64 * (now - self.next_tell + 2.0).min(20.0);
-            self.next_tell = now + 2.0;
-            let news = |r: &Runner| r.mine > 0.0 || r.told > 0 || r.last_key != 0;
-            self.moved = (0..self.runners.len()).filter(|&r| news(&self.runners[r])).collect();
-        }
-        for r in self.moved.drain(..) {
-            let runner = &mut self.runners[r];
-            let mine = runner.mine.round().clamp(0.0, 255.0) as u8;
-            let cost = runner.sharers.as_ref().map_or(peers, Vec::len) as f64;
-            if self.may_tell >= cost && (mine != runner.told || runner.last_key != 0 || whole && mine > 0) {
-                self.may_tell -= cost;
-                runner.told = mine;
-                let key = std::mem::take(&mut runner.last_key);
-                let strange = runner.fresh.take();
-                host.tell_peers(runner.sharers.as_deref(), r, mine, strange, key);
-            }
-        }
-    }
 }
 
 /// A rest's first length: a pause of a healthy runner is over by then, a real trouble rarely is.
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -57,14 +57,6 @@
 }
 
 pub fn read_terms(info: &Stated) -> Result<Terms, String> {
-    let fields: Vec<&str> = info.text("Report.Fields").split(',').collect();
-    let field = |name: &str| fields.iter().position(|f| *f == name);
-    let meaning = |name: &str| match info.text("Domain.ReportX0") == name {
-        true => field("x0"),
-        false if info.text("Domain.ReportX1") == name => field("x1"),
-        false => None,
-    };
-    let memory = meaning("free_memory");
     let mut categories = Vec::new();
     for n in 0..info.count("Categories.count")? {
         let path = |leaf: &str| format!("Categories.{n}.{leaf}");
@@ -95,16 +87,10 @@
         replicas: info.count("ReplicasOfMe")?.max(1),
         me: info.count("Me")?,
         asks_for_list: info.text("Discovery") == "on_request",
-        reports_in_answers: info.text("Report.How") == "inline",
-        free_slots_at: meaning("free_slots"),
-        queue_at: field("queue"),
-        inside_at: field("inflight"),
-        free_memory_at: memory,
         tells_taking: false,
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
         may_cancel: info.yes("Limits.MayCancel")?,
-        peers: info.yes("Limits.Peers")?,
         max_come_back_s: if retry_after { info.seconds("Limits.MaxRetryAfterUs")? } else { 0.0 },
         most_hand_offs: info.count("Limits.MostHandOffs")? as u16,
         cold_from: info.number("Safety.ColdFrom")?,
@@ -112,7 +98,6 @@
         fall_multiple: info.number("Safety.FallMultiple")?,
         fall_s: info.seconds("Safety.OverloadForUs")?,
         must_ask_s: info.seconds("Safety.MustAskInUs")?,
-        payoff_by_work: info.text("PayoffBasis") == "work",
         categories,
     })
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -92,31 +92,8 @@
     /// Our part of what it may be sent while cold.
     pub cold_part: f64,
     pub memory: f64,
-    pub told: u8,
-    /// What it ranks here by hash, and the peers told of it; none where all are.
+    /// What it ranks here by hash.
     pub rank: u64,
-    pub sharers: Option<Vec<u16>>,
-    /// The key of what was last finished there, until the peers are told.
-    pub last_key: u32,
-    /// Slots each peer's work holds, and their sum.
-    pub theirs: Vec<(usize, f64)>,
-    pub others: f64,
-    /// Free slots by report plus the slots known taken then, and their median; memory alike.
-    pub seen_slots: Ring<f64, 16>,
-    pub slots: Option<f64>,
-    /// The median of its like.
-    pub alike: Option<f64>,
-    /// Slots known taken at the last looks.
-    pub taken: Ring<f64, 10>,
-    /// What it held by report beyond what was known, here or at a peer, and when.
-    pub strange: Ring<f64, 5>,
-    pub found: f64,
-    /// The last of it that the peers have not been told.
-    pub fresh: Option<i8>,
-    pub last_report: [f32; 4],
-    pub seen_memory: Ring<f64, 8>,
-    pub all_memory: f64,
-    pub reported: f64,
     /// What a warm runner of its kind does; kept up only while some are cold.
     pub capacity: f64,
     pub cap: f64,
@@ -152,23 +129,7 @@
             cold_left: 0.0,
             cold_part: 0.0,
             memory: 0.0,
-            told: 0,
             rank: 0,
-            sharers: None,
-            last_key: 0,
-            theirs: Vec::new(),
-            others: 0.0,
-            seen_slots: Ring::default(),
-            slots: None,
-            alike: None,
-            taken: Ring::default(),
-            strange: Ring::default(),
-            found: f64::NEG_INFINITY,
-            fresh: None,
-            last_report: [0.0; 4],
-            seen_memory: Ring::default(),
-            all_memory: f64::INFINITY,
-            reported: f64::NEG_INFINITY,
             capacity: CAP_START,
             cap: CAP_START,
             running: 0.0,
@@ -191,8 +152,7 @@
 
     pub fn restart(&mut self) {
         let old = std::mem::replace(self, Runner::new());
-        (self.mine, self.memory, self.told, self.theirs) = (old.mine, old.memory, old.told, old.theirs);
-        (self.others, self.rank, self.sharers) = (old.others, old.rank, old.sharers);
+        (self.mine, self.memory, self.rank) = (old.mine, old.memory, old.rank);
         (self.cold_sent, self.running) = (old.cold_sent, old.running);
     }
 }
@@ -208,9 +168,8 @@
     pub(crate) held: Vec<u32>,
     pub(crate) runners: Vec<Runner>,
     pub(crate) open: Vec<usize>,
-    /// The runners in use; and those where our work has come or gone since the peers were last told.
+    /// The runners in use.
     pub(crate) chosen: Vec<usize>,
-    pub(crate) moved: Vec<usize>,
     pub(crate) runs: Vec<Ring<f64, 32>>,
     pub(crate) usual: Vec<f64>,
     pub(crate) ratios: Ring<f64, 64>,
@@ -221,10 +180,6 @@
     pub(crate) pace: f64,
     /// When last something held had waited half its spare time.
     pub(crate) crowded_at: f64,
-    pub(crate) peer_heard: Vec<f64>,
-    pub(crate) next_tell: f64,
-    /// How many tellings the peers may still be sent.
-    pub(crate) may_tell: f64,
     pub(crate) next_look: f64,
     pub(crate) next_ask: f64,
     pub(crate) ask_again_s: f64,
@@ -232,15 +187,13 @@
 }
 
 impl Dispatcher {
-    pub fn new(mut terms: Terms, seed: u64, now: f64) -> Self {
-        terms.peers &= terms.replicas > 1;
+    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
         let mut pcg = Pcg::new(seed);
         // Spread, since all dispatchers may start together and the list answers few calls a second.
         let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
         Dispatcher {
             runs: vec![Ring::default(); terms.categories.len()],
             usual: terms.categories.iter().map(|c| c.due_s).collect(),
-            peer_heard: vec![f64::NEG_INFINITY; terms.replicas],
             terms,
             pcg,
             changed: true,
@@ -251,14 +204,11 @@
             runners: Vec::new(),
             open: Vec::new(),
             chosen: Vec::new(),
-            moved: Vec::new(),
             ratios: Ring::default(),
             fetches: Ring::default(),
             fetch_s: 0.0,
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
-            next_tell: now,
-            may_tell: 0.0,
             next_look: now,
             next_ask,
             ask_again_s: 0.3,
@@ -281,10 +231,6 @@
         self.running -= if ho.started.is_some() { 1.0 } else { 0.0 };
     }
 
-    pub fn sample_taken(&mut self) {
-        self.taken.push(self.known());
-    }
-
     pub fn shun(&mut self, category: usize) -> &mut (f64, f64) {
         let count = self.shuns.len().max(category + 1);
         self.shuns.resize(count, (0.0, f64::NEG_INFINITY));
@@ -295,11 +241,6 @@
         self.shuns.get(category).is_some_and(|(_, until)| now < *until)
     }
 
-    /// Slots known taken: by our own work and by the peers'.
-    pub fn known(&self) -> f64 {
-        self.mine + self.others
-    }
-
     pub fn holds(&self, key: u32, now: f64) -> bool {
         key != 0 && self.keys.samples().iter().any(|&(k, at)| k == key && now < at + KEY_AGE_S)
     }
@@ -316,45 +257,6 @@
     }
 }
 
-impl Runner {
-    pub fn free_memory(&mut self, units: Option<f64>) {
-        if let Some(units) = units {
-            self.seen_memory.push(units + self.memory);
-            self.all_memory = self.seen_memory.mean().unwrap_or(f64::INFINITY);
-        }
-    }
-
-    /// A report tells more than the last one did.
-    pub fn is_news(&mut self, report: Report) -> bool {
-        let mut this = [0.0; 4];
-        this[..report.len()].copy_from_slice(report);
-        std::mem::replace(&mut self.last_report, this) != this
-    }
-
-    pub fn found(&mut self, now: f64, strange: f64) {
-        self.strange.push(strange);
-        self.found = now;
-    }
-
-    /// Work there that nobody counts, by the last reports. Forgotten after 5 s: most has ended by then, and
-    /// room must be tried again.
-    pub fn strange_at(&self, now: f64) -> f64 {
-        let strange = if now < self.found + 5.0 { self.strange.quantile(0.5) } else { None };
-        strange.unwrap_or(0.0).max(0.0).floor()
-    }
-
-    /// A peer's work holds so many slots now; says how many more than before.
-    pub fn peer_holds(&mut self, peer: usize, slots: f64) -> f64 {
-        let place = self.theirs.iter().position(|(p, _)| *p == peer).unwrap_or(self.theirs.len());
-        if place == self.theirs.len() {
-            self.theirs.push((peer, 0.0));
-        }
-        let more = slots - std::mem::replace(&mut self.theirs[place].1, slots);
-        self.others += more;
-        more
-    }
-}
-
 impl Dispatcher {
     pub(crate) fn place(&mut self, work: Work) -> u32 {
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
@@ -367,30 +269,20 @@
     }
 
     /// A run has come to its end: the samples of its runner, its category and the fleet.
-    pub(crate) fn measured(&mut self, job: &Job, ho: &HandOff, run: f64, like: f64, expected: f64) {
+    pub(crate) fn measured(&mut self, job: &Job, ho: &HandOff, run: f64, expected: f64) {
         let runner = &mut self.runners[ho.runner];
-        runner.paces.push(run / like);
+        runner.paces.push(run / expected);
         runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
         let evidence = &mut runner.shun(job.category).0;
         *evidence = (*evidence - 0.5).max(0.0);
         self.runs[job.category].push(run);
         self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
-        self.ratios.push(run / like);
+        self.ratios.push(run / expected);
         if ho.fetches && job.key != 0 {
             self.fetches.push(run - expected);
         }
     }
 
-    /// What peers told that have not been heard of for so long is forgotten.
-    pub(crate) fn forget_peers(&mut self, now: f64, after_s: f64) {
-        for peer in 0..self.peer_heard.len() {
-            if self.peer_heard[peer].is_finite() && now > self.peer_heard[peer] + after_s {
-                (0..self.runners.len()).for_each(|r| self.peer_holds(now, peer, r, 0.0, None));
-                self.peer_heard[peer] = f64::NEG_INFINITY;
-            }
-        }
-    }
-
     pub(crate) fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
         work.home == r || work.holders.samples().contains(&r)
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -35,18 +35,11 @@
     /// This dispatcher's number among them.
     pub me: usize,
     pub asks_for_list: bool,
-    pub reports_in_answers: bool,
-    /// Where in a load report each figure stands.
-    pub free_slots_at: Option<usize>,
-    pub queue_at: Option<usize>,
-    pub inside_at: Option<usize>,
-    pub free_memory_at: Option<usize>,
     /// Runners say at once that they take a hand-off, apart from its start.
     pub tells_taking: bool,
     pub tells_start: bool,
     pub progress_s: f64,
     pub may_cancel: bool,
-    pub peers: bool,
     /// The longest wait a client follows; zero where no advice is passed on.
     pub max_come_back_s: f64,
     pub most_hand_offs: u16,
@@ -55,7 +48,6 @@
     pub fall_multiple: f64,
     pub fall_s: f64,
     pub must_ask_s: f64,
-    pub payoff_by_work: bool,
     pub categories: Vec<Category>,
 }
 
@@ -63,10 +55,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
     pub category: usize,
-    /// A small hash of what it needs, the same at every dispatcher; 0 for nothing.
+    /// A hash of what it needs, the same at every dispatcher; 0 for nothing.
     pub key: u32,
     pub expiry: f64,
-    pub hint: Option<f64>,
     pub slots: f64,
     pub memory: f64,
     /// The client says it tries again.
@@ -115,9 +106,6 @@
     }
 }
 
-/// A load report's figures; none at all when it is empty.
-pub type Report<'a> = &'a [f32];
-
 /// What the decisions ask of whoever carries them out. Times are seconds on the batch's clock.
 pub trait Host {
     fn now(&self) -> f64;
@@ -129,8 +117,5 @@
     fn forget(&mut self, wi: Wi);
     fn wake(&mut self, in_s: f64);
     fn watch(&mut self);
-    /// Tells these peers, or all, how many slots of a runner this dispatcher's work holds and how many
-    /// are held by work that nobody counts, and the key of work just finished there (0 for none).
-    fn tell_peers(&mut self, to: Option<&[u16]>, runner: usize, slots: u8, strange: Option<i8>, key: u32);
     fn log(&mut self, runner: usize, line: &str);
 }
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -15,8 +15,6 @@
 pub struct Fake {
     pub now: f64,
     pub asked: Vec<Asked>,
-    /// To how many peers, of which runner, how many slots and which key.
-    pub told: Vec<(Option<usize>, usize, u8, u32)>,
     pub wake: f64,
     pub logged: Vec<String>,
 }
@@ -44,9 +42,6 @@
     fn watch(&mut self) {
         self.asked.push(Watch);
     }
-    fn tell_peers(&mut self, to: Option<&[u16]>, runner: usize, slots: u8, _: Option<i8>, key: u32) {
-        self.told.push((to.map(<[u16]>::len), runner, slots, key));
-    }
     fn log(&mut self, runner: usize, line: &str) {
         self.logged.push(format!("{runner} {line}"));
     }
@@ -57,8 +52,8 @@
 
 pub fn terms() -> Terms {
     let category = |repeat| Category {
-        due_s: 1.0,
-        stretch: 2.0,
+        due_s: 0.5,
+        stretch: 3.0,
         payoff: 1.0,
         tardy: 0.2,
         repeat,
@@ -95,7 +90,7 @@
 }
 
 pub fn job(category: usize, key: u32) -> Job {
-    Job { category, key, expiry: 110.0, hint: Some(0.5), slots: 1.0, memory: 0.0, repeat: false }
+    Job { category, key, expiry: 110.0, slots: 1.0, memory: 0.0, repeat: false }
 }
 
 impl Fake {
@@ -106,7 +101,7 @@
         wi
     }
     pub fn come(&mut self, d: &mut Dispatcher, wi: Wi, no: u16, outcome: Outcome) {
-        wi.outcome(d, self, no, outcome, outcome == Outcome::Finished, &[]);
+        wi.outcome(d, self, no, outcome, outcome == Outcome::Finished);
         d.decide(self);
     }
     /// Lets time pass in looks.
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -19,11 +19,10 @@
 
 #[test]
 fn a_key_draws_its_work_to_the_runner_that_served_it() {
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..terms() }, 8);
+    let (mut d, mut host) = start(terms(), 8);
     let first = host.take(&mut d, RERUNNABLE, 42);
     host.come(&mut d, first, 0, Outcome::Finished);
     let holder = host.sent_to(first)[0];
-    assert_eq!(host.told, [(None, holder, 1, 0), (None, holder, 0, 42)], "the peers hear of it");
     host.asked.clear();
     let again = host.take(&mut d, RERUNNABLE, 42);
     assert_eq!(host.sent_to(again), [holder]);
@@ -44,13 +43,13 @@
 
 #[test]
 fn work_waits_a_little_for_a_busy_holder_and_then_goes_elsewhere() {
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..terms() }, 2);
-    d.peer_served(100.0, 0, 42);
+    let (mut d, mut host) = start(terms(), 2);
     let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
-    assert_eq!((host.sent_to(all[0]), host.sent_to(all[1])), (vec![0], vec![0]));
+    let home = host.sent_to(all[0])[0];
+    assert_eq!(host.sent_to(all[1]), [home]);
     assert!(host.sent_to(all[2]).is_empty(), "the holder is full, the other one has room");
     host.pass(&mut d, 0.8);
-    assert_eq!(host.sent_to(all[2]), [1]);
+    assert_eq!(host.sent_to(all[2]), [1 - home]);
 }
 
 #[test]
@@ -364,36 +363,13 @@
 }
 
 #[test]
-fn late_reports_do_not_read_as_more_slots() {
-    let reporting = Terms { reports_in_answers: true, free_slots_at: Some(0), queue_at: Some(1), ..terms() };
-    let (mut d, mut host) = start(reporting, 1);
-    // The runner has 4 slots; every report says what was free long ago, while more and more goes out.
-    let mut out = std::collections::VecDeque::new();
-    for step in 0..60 {
-        out.push_back(host.take(&mut d, RERUNNABLE, 0));
-        host.pass(&mut d, 0.05);
-        if step % 2 == 1 {
-            let wi = out.pop_front().unwrap();
-            if host.sent_to(wi).len() == 1 {
-                let report = [4.0 + step as f32 * 1e-3, 0.0];
-                wi.outcome(&mut d, &mut host, 0, Outcome::Finished, true, &report);
-            }
-        }
-    }
-    let sent = host.asked.iter().filter(|a| matches!(a, HandOff(..))).count();
-    let finished = 60 / 2;
-    assert!(sent < finished + 12, "{sent} sent: belief in room ran away");
-}
-
-#[test]
-fn among_many_each_uses_a_few_runners_and_tells_only_those_who_share_them() {
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 400, me: 399, ..terms() }, 50);
-    let all: Vec<Wi> = (0..20).map(|n| host.take(&mut d, RERUNNABLE, n)).collect();
+fn among_many_each_uses_a_few_runners() {
+    let (mut d, mut host) = start(Terms { replicas: 400, me: 399, ..terms() }, 50);
+    let all: Vec<Wi> = (0..40).map(|n| host.take(&mut d, RERUNNABLE, n)).collect();
     let mut used: Vec<usize> = all.iter().flat_map(|wi| host.sent_to(*wi)).collect();
     used.sort_unstable();
     used.dedup();
-    assert_eq!(used.len(), 5, "the fewest of a kind, since 400 cannot tell each other everything");
-    assert!(host.told.iter().all(|(to, ..)| to.is_some_and(|n| n > 0 && n < 100)));
+    assert_eq!(used.len(), 5, "the fewest of a kind");
     d.listed(host.now, News::Changes, &used.iter().map(|&r| (r, None)).collect::<Vec<_>>());
     d.decide(&mut host);
     let next = |a: &Asked| matches!(a, HandOff(_, r) if !used.contains(r));
@@ -414,61 +390,6 @@
     assert_eq!(all.iter().sum::<usize>(), 1, "{all:?}");
 }
 
-#[test]
-fn work_that_nobody_counts_takes_room_for_a_while() {
-    let at = Terms { reports_in_answers: true, free_slots_at: Some(0), inside_at: Some(1), ..terms() };
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..at }, 1);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    wi.outcome(&mut d, &mut host, 0, Outcome::Finished, true, &[3.0, 1.0]);
-    host.asked.clear();
-    // Four slots, none of them counted as held, and a peer has seen six work items inside.
-    (0..3).for_each(|_| d.peer_holds(host.now, 1, 0, 0.0, Some(6)));
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert!(host.sent_to(wi).is_empty());
-    host.pass(&mut d, 5.2);
-    assert_eq!(host.sent_to(wi), [0], "by then most of it has ended, and room is tried again");
-}
-
-#[test]
-fn a_peers_finished_work_shows_that_a_runner_lives() {
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..terms() }, 2);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    let runner = host.sent_to(wi)[0];
-    for _ in 0..12 {
-        host.pass(&mut d, 0.1);
-        d.peer_served(host.now, runner, 42);
-    }
-    assert!(!host.asked.contains(&Cancel(wi, 0)), "it waits its turn there, and is not called off");
-}
-
-#[test]
-fn a_runner_that_never_answered_us_is_not_taken_for_an_empty_one() {
-    let at = Terms { reports_in_answers: true, free_slots_at: Some(0), inside_at: Some(1), ..terms() };
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 2, ..at }, 2);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    wi.outcome(&mut d, &mut host, 0, Outcome::Finished, true, &[3.0, 1.0]);
-    host.asked.clear();
-    host.pass(&mut d, 0.2);
-    // Four slots each, one told and one by likeness, all of them held by a peer's work.
-    (0..2).for_each(|r| d.peer_holds(host.now, 1, r, 4.0, None));
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert!(host.sent_to(wi).is_empty());
-}
-
-#[test]
-fn tellings_stay_under_the_wires_bound() {
-    let (mut d, mut host) = start(Terms { peers: true, replicas: 400, ..terms() }, 1);
-    for _ in 0..60 {
-        let wi = host.take(&mut d, RERUNNABLE, 0);
-        host.pass(&mut d, 0.3);
-        host.come(&mut d, wi, 0, Outcome::Finished);
-        host.asked.clear();
-    }
-    let told = 399 * host.told.len();
-    let most = 60.0 * 18.0 + (host.now - 100.0 + 2.0) * 35e3 / 400.0;
-    assert!(told > 0 && told as f64 <= most, "{told} told, {most} at the most");
-}
-
 #[test]
 fn before_a_planned_end_all_in_hand_is_given_up_on_in_time() {
     let (mut d, mut host) = start(terms(), 1);
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -303,7 +303,6 @@
         category,
         key: key.map_or(0, |key| (number(key) >> 32) as u32).max(key.is_some() as u32),
         expiry: 0.0,
-        hint: None,
         slots,
         memory,
         repeat: request.repeat,
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -283,10 +283,6 @@
         self.ask_list.notify_one();
     }
 
-    fn tell_peers(&mut self, _: Option<&[u16]>, _: usize, _: u8, _: Option<i8>, _: u32) {
-        // This protocol has no word between dispatchers; the terms say so too.
-    }
-
     fn log(&mut self, runner: usize, line: &str) {
         let runner = &self.runners[runner];
         log::info!("{} ({}) {line}", runner.name, runner.address.get());
@@ -548,7 +544,7 @@
         self.pass_starts(|_, _, other| other.serial == serial);
         let Some(out) = self.desk.taken(wi).and_then(|taken| taken.out.take()) else { return };
         let settled = outcome == Outcome::Finished;
-        wi.outcome(&mut self.dispatcher, &mut self.desk, no, outcome, settled, &[]);
+        wi.outcome(&mut self.dispatcher, &mut self.desk, no, outcome, settled);
         self.pass_starts(|desk, _, other| desk.out(other).is_some_and(|next| next.runner == out.runner));
     }
 
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -119,10 +119,9 @@
     if terms.categories.is_empty() {
         return Err("settings name no category".to_string());
     }
-    // This protocol has one way to the list, a watch, whatever the deployment's was; a 202; no word to peers.
+    // This protocol has one way to the list, a watch, whatever the deployment's was, and a 202.
     terms.asks_for_list = true;
     terms.tells_taking = true;
-    terms.peers = false;
     if terms.must_ask_s <= 0.0 {
         terms.must_ask_s = 10.0;
     }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -12,8 +12,6 @@
     client_ids: Vec<u32>,
     runners: HashMap<Address, usize>,
     addresses: Vec<Address>,
-    /// Runners by the short form of their address; `None` where two share one, and news of either is dropped.
-    shorts: HashMap<u32, Option<usize>>,
 }
 
 impl Ids {
@@ -22,7 +20,6 @@
         let index = *self.runners.entry(address).or_insert(next);
         if index == next {
             self.addresses.push(address);
-            self.shorts.entry(short(number(address))).and_modify(|at| *at = None).or_insert(Some(index));
         }
         index
     }
@@ -46,7 +43,7 @@
     now: f64,
 }
 
-/// Three bytes that stand for an address or key in messages to peers, which are paid for by length; never 0.
+/// Stands for a key; never 0, which is none.
 fn short(long: u64) -> u32 {
     ((long.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) as u32).max(1)
 }
@@ -55,10 +52,6 @@
     address.iter().fold(0, |id, byte| id << 8 | *byte as u64)
 }
 
-fn three(bytes: &[u8]) -> u32 {
-    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], 0])
-}
-
 fn micros(seconds: f64) -> u64 {
     (seconds * 1e6).round().max(0.0) as u64
 }
@@ -93,19 +86,6 @@
     fn watch(&mut self) {
         self.reply.act(110, self.instance, &[&[1]]);
     }
-    fn tell_peers(&mut self, to: Option<&[u16]>, runner: usize, slots: u8, strange: Option<i8>, key: u32) {
-        let [a, b, c, _] = short(number(self.ids.addresses[runner])).to_le_bytes();
-        let [d, e, f, _] = key.to_le_bytes();
-        let [strange] = strange.unwrap_or(i8::MIN).to_le_bytes();
-        let text = [a, b, c, slots, strange, d, e, f];
-        let place = self.reply.text(if key == 0 { &text[..5] } else { &text });
-        match to {
-            None => self.reply.act(80, self.instance, &[&u32::MAX.to_le_bytes(), &place]),
-            Some(peers) => peers.iter().for_each(|peer| {
-                self.reply.act(80, self.instance, &[&(*peer as u32).to_le_bytes(), &place]);
-            }),
-        }
-    }
     fn log(&mut self, runner: usize, line: &str) {
         let [a, b, c, d, low, high] = self.ids.addresses[runner];
         let line = format!("{a}.{b}.{c}.{d}:{} {line}", u16::from_le_bytes([low, high]));
@@ -203,7 +183,6 @@
                     category,
                     key: if record.u64(12) == 0 { 0 } else { short(record.u64(12)) },
                     expiry: record.u64(20) as f64 / 1e6,
-                    hint: (flags & 1 != 0).then(|| record.u32(28) as f64 / 1e6),
                     slots: record.f32(32) as f64,
                     memory: record.f32(36) as f64,
                     repeat: flags & 2 != 0,
@@ -224,10 +203,8 @@
             50 => {
                 let outcome = outcome(record.u16(15))?;
                 if let Some(wi) = known {
-                    let report: [f32; 4] = std::array::from_fn(|n| record.f32(27 + 4 * n));
-                    let report = &report[..(record.u8(26) as usize).min(4)];
                     let mut wire = Wire { ids, reply, instance, now };
-                    wi.outcome(dispatcher, &mut wire, record.u16(7), outcome, record.u8(21) != 0, report);
+                    wi.outcome(dispatcher, &mut wire, record.u16(7), outcome, record.u8(21) != 0);
                 }
             }
             60 => {
@@ -235,19 +212,6 @@
                     wi.left(dispatcher, &mut Wire { ids, reply, instance, now });
                 }
             }
-            90 => {
-                let contents = batch.tail(record, 5, 1)?;
-                let peer = record.u16(3) as usize;
-                // A runner not yet on this instance's own list is no use to it.
-                let known = contents.get(..3).and_then(|at| *ids.shorts.get(&three(at))?);
-                if let (Some(runner), Some(&[slots, strange])) = (known, contents.get(3..5)) {
-                    let strange = Some(strange as i8).filter(|s| *s != i8::MIN);
-                    dispatcher.peer_holds(now, peer, runner, slots as f64, strange);
-                    if let Some(key) = contents.get(5..8) {
-                        dispatcher.peer_served(now, runner, three(key));
-                    }
-                }
-            }
             120 => match (known, record.u8(15)) {
                 (Some(wi), 1) => wi.started(dispatcher, now, record.u16(7)),
                 (Some(wi), 2) => wi.progressed(dispatcher, now, record.u16(7), record.f32(16) as f64),
