--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -4,7 +4,7 @@
 //! due, call `decide`: it visits the runners and acts through the `Host`. Before a planned end, `end_by`. The
 //! interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`) is defined in `terms.rs`.
 use crate::pcg::draw;
-use crate::ring::median;
+use crate::ring::{median, Ring};
 pub use crate::state::Dispatcher;
 use crate::state::{HandOff, Runner, Work};
 use crate::terms::*;
@@ -21,6 +21,12 @@
 const SHARERS: f64 = 8.0;
 /// At least so many runners of a kind are used: one may be cold and one unwell.
 const FEWEST: usize = 5;
+/// A work item's places, where runners must be probed: with three in four slots taken, six all full are rare.
+pub const PLACES: usize = 4;
+/// So many are probed at once: one mostly has room, and each costs.
+const AT_ONCE: usize = 1;
+/// A report is held for true for this part of a usual job: load changes as jobs come and go.
+const FRESH: f64 = 0.25;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
@@ -39,6 +45,8 @@
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(first) else { return };
         (ho.started, ho.moved) = (Some(now), now);
         let (waited, runner) = (now - ho.sent, &mut d.runners[ho.runner]);
+        d.waits.push(waited);
+        d.waited_at = now;
         runner.heard = now;
         runner.running += 1.0;
         runner.most = runner.most.max(runner.running);
@@ -115,10 +123,31 @@
     /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
     fn find_home(&mut self, w: u32) {
-        let Work { job, .. } = self.works[w as usize];
-        let able = self.chosen.iter().copied().filter(|&r| self.of_kind(w, r));
-        let home = able.max_by_key(|&r| draw(job.key as u64, self.runners[r].at.id));
-        self.works[w as usize].home = home.filter(|_| job.key != 0).unwrap_or(usize::MAX);
+        let (key, now) = (self.works[w as usize].job.key, self.last_pass);
+        let able = || self.chosen.iter().copied().filter(|&r| self.of_kind(w, r) && self.may_go(w, r, now));
+        let mut places = Ring::default();
+        let home = match self.terms.probes {
+            true => {
+                let mut all: Vec<usize> = able().collect();
+                all.sort_unstable_by_key(|&r| std::cmp::Reverse(self.liking(key, r)));
+                let near = |r: &&usize| self.liking(key, **r).0;
+                let (near, far): (Vec<usize>, Vec<usize>) = all.iter().partition(|r| near(r));
+                near.iter().take(PLACES / 2).for_each(|&r| places.push(r));
+                far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
+                all.first().copied()
+            }
+            false => able().max_by_key(|&r| self.liking(key, r)),
+        };
+        let work = &mut self.works[w as usize];
+        work.home = home.filter(|_| key != 0).unwrap_or(usize::MAX);
+        (work.places, work.asked) = (places, 0);
+    }
+
+    /// Who is liked better for a key: in the own zone where crossing is dearer than a fetch, then by hash.
+    fn liking(&self, key: u32, r: usize) -> (bool, u64) {
+        let runner = &self.runners[r];
+        let near = self.terms.keeps_zone && runner.at.zone == self.terms.zone;
+        (near, if key == 0 { runner.rank } else { draw(key as u64, runner.at.id) })
     }
 
     fn hold(&mut self, now: f64, w: u32) {
@@ -146,11 +175,15 @@
                 None => runner.at.ready = false,
                 Some(listed) => {
                     // A restart forgets keys, room and verdicts: the new process has none of them.
-                    if listed.born > runner.at.born + 1e-6 {
+                    let started = listed.born > runner.at.born + 1e-6;
+                    if started {
                         runner.restart();
                     }
                     runner.rank = draw(self.terms.me as u64, listed.id);
                     runner.at = listed;
+                    if started {
+                        self.share(index);
+                    }
                 }
             }
         }
@@ -166,7 +199,9 @@
     /// all runners uses those ranking highest in a hash of its own number and theirs; as many, by themselves,
     /// of a kind that some category needs.
     fn choose(&mut self) {
-        let part = (SHARERS / self.terms.replicas as f64).min(1.0);
+        // Who can ask needs no part of its own.
+        let all = self.terms.probes;
+        let part = if all { 1.0 } else { (SHARERS / self.terms.replicas as f64).min(1.0) };
         let (runners, categories) = (&self.runners, &self.terms.categories);
         let needed = |r: usize| categories.iter().find_map(|c| c.kind.filter(|k| *k == runners[r].at.kind));
         let mut ready: Vec<usize> = (0..runners.len()).filter(|&r| runners[r].at.ready).collect();
@@ -176,9 +211,8 @@
         let mut rest = &ready[..];
         for len in alike {
             // Guards against the CPU of visiting hundreds: 32 are choice enough, unless few share them.
-            let enough = 32.max(2 * len / self.terms.replicas);
+            let enough = if all { len } else { 32.max(2 * len / self.terms.replicas) };
             let most = ((part * len as f64).ceil() as usize).min(enough).max(FEWEST).min(len);
-            rest[..most].iter().for_each(|&r| self.share(r));
             self.chosen.extend(&rest[..most]);
             rest = &rest[len..];
         }
@@ -219,12 +253,17 @@
             self.look(host);
             self.changed = true;
         }
+        self.changed |= by >= self.next_seek;
         // Only where room or work has come since the last pass: most news on a busy day is neither.
         if std::mem::take(&mut self.changed) {
             self.pass(host);
+            if self.terms.probes {
+                self.seek(host);
+                self.queue(host);
+            }
         }
         let busy = self.works.len() > self.free.len();
-        let next = if busy { self.next_look.min(self.next_ask) } else { self.next_ask };
+        let next = if busy { self.next_look.min(self.next_ask).min(self.next_seek) } else { self.next_ask };
         if self.wake_at <= by || next < self.wake_at - 1e-6 {
             self.wake_at = next;
             host.wake((next - now).max(0.0));
@@ -242,14 +281,14 @@
         let mut open = std::mem::take(&mut self.open);
         open.clear();
         for &r in &self.chosen {
-            self.runners[r].room = self.room(r);
+            self.runners[r].room = self.room(r, now);
             self.runners[r].cold_left = self.cold_left(r, now);
             if self.has_room(r, now) {
                 open.push(r);
             }
         }
         (1..open.len()).rev().for_each(|i| open.swap(i, self.pcg.below(i + 1)));
-        if !open.is_empty() {
+        if !open.is_empty() || self.terms.probes {
             self.price(&open, now);
         }
         open.retain(|&r| {
@@ -269,8 +308,7 @@
             let key = self.works[w as usize].job.key;
             let fitting = open.iter().copied().filter(|&r| self.fits(w, r, now));
             // Among equally cheap ones the one where all agree that the key belongs.
-            let tie = |r: usize| if key == 0 { 0 } else { draw(key as u64, self.runners[r].at.id) };
-            match fitting.max_by_key(|&r| (self.holds(w, r), tie(r))) {
+            match fitting.max_by_key(|&r| (self.holds(w, r), self.liking(key, r))) {
                 Some(r) => {
                     self.send(host, place, r);
                     open.retain(|&r| self.has_room(r, now));
@@ -281,11 +319,93 @@
         self.open = open;
     }
 
+    /// Held work that lacks a fresh view of a runner it might use asks a few at a time, best first; when all
+    /// are full it waits, longer after each round. One probe is out to a runner at most, and one that takes
+    /// long says that the runner is busy: the next are asked.
+    fn seek(&mut self, host: &mut impl Host) {
+        let now = host.now();
+        let wait_s = 3.0 * self.probe_times.quantile(0.5).unwrap_or(QUIET_S / 3.0).max(1e-3);
+        self.next_seek = f64::INFINITY;
+        for place in 0..self.held.len() {
+            let w = self.held[place];
+            let work = &self.works[w as usize];
+            let (places, mut asked, mut at) = (work.places.clone(), work.asked, work.ask_at);
+            let out = |r: &usize| self.runners[*r].probed.map(|t| t + wait_s).filter(|t| now < *t);
+            let due = places.samples()[..asked].iter().filter_map(out).fold(f64::NEG_INFINITY, f64::max);
+            at = at.max(due);
+            let mut sent = 0;
+            // Only one is asked in a later round: what has waited so long has learnt that all are full.
+            let most = if work.rounds > 0 {
+                (asked + 1).min(places.samples().len())
+            } else {
+                places.samples().len()
+            };
+            while now >= at && sent < AT_ONCE && asked < most {
+                let r = places.samples()[asked];
+                asked += 1;
+                if !self.usable(w, r, now) || now < self.runners[r].reported + self.fresh_s {
+                    continue;
+                }
+                sent += 1;
+                if self.runners[r].probed.is_none() {
+                    self.runners[r].probed = Some(now);
+                    host.probe(r);
+                }
+            }
+            let work = &mut self.works[w as usize];
+            if sent > 0 {
+                at = now + wait_s;
+            } else if now >= at {
+                work.ask_at = now + self.fresh_s.max(wait_s) * 2f64.powi(work.rounds.min(8));
+                (at, work.rounds) = (work.ask_at, work.rounds + 1);
+                asked = if work.rounds == 1 || asked >= places.samples().len() { 0 } else { asked };
+            }
+            work.asked = asked;
+            self.next_seek = self.next_seek.min(at);
+        }
+    }
+
+    /// What has asked all its places and found none free takes the best of them as far as the cap allows: a
+    /// short queue at a holder costs less than a slot that waits to be asked.
+    fn queue(&mut self, host: &mut impl Host) {
+        let now = host.now();
+        let mut place = 0;
+        while place < self.held.len() {
+            let work = &self.works[self.held[place] as usize];
+            let queues = |r: &&usize| {
+                let runner = &self.runners[**r];
+                self.usable(self.held[place], **r, now)
+                    && work.job.slots <= runner.cap.floor() - runner.mine
+                    && self.cold_size(&work.job) <= runner.cold_left
+            };
+            let may = work.rounds > 0 && work.spare <= 0.0;
+            match work.places.samples().iter().find(|r| may && queues(r)).copied() {
+                Some(r) => self.send(host, place, r),
+                None => place += 1,
+            }
+        }
+    }
+
+    /// A probe has come back, empty where it failed: then the runner counts as full for a moment.
+    pub fn probed(&mut self, now: f64, r: usize, report: &[f32]) {
+        let Some(runner) = self.runners.get_mut(r) else { return };
+        self.probe_times.push(runner.probed.take().map_or(0.0, |t| now - t));
+        let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
+        let free = figure(self.terms.free_slots_at).filter(|f| f.is_finite() && *f >= 0.0);
+        let memory = figure(self.terms.free_memory_at).filter(|f| f.is_finite() && *f >= 0.0);
+        runner.free = free.unwrap_or(0.0).round();
+        runner.free_memory = memory.unwrap_or(f64::INFINITY);
+        runner.slots = runner.slots.max(runner.free);
+        runner.reported = now;
+        self.changed = true;
+    }
+
     /// Prices what is held for one pass.
     fn price(&mut self, open: &[usize], now: f64) {
         // Crowded: not all that is held can be in time; something has waited half its spare time.
         let due_s = |w: u32| self.category(w).due_s;
-        let crowded = self.held.iter().any(|&w| now > self.works[w as usize].taken + 0.5 * due_s(w));
+        let half = |w: u32| now + self.wait_s > self.works[w as usize].taken + 0.5 * due_s(w);
+        let crowded = self.held.iter().any(|&w| half(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
         let worth = |n: usize| self.terms.categories[n].payoff / self.usual[n].max(1e-3);
         let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
@@ -294,7 +414,8 @@
             let category = self.category(w);
             let worth = worth(work.job.category);
             // A client's repeat comes back after its first try's due time as a rule.
-            let late = work.job.repeat || now + self.pace * self.expected(&work.job) > self.due(w);
+            let ends = now + self.wait_s + self.pace * self.expected(&work.job);
+            let late = work.job.repeat || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
@@ -302,8 +423,9 @@
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let waits = !late && others == open.len() && self.busy_holder(w);
-            let odds = 1.0 - (-(others as f64) / open.len() as f64).exp();
+            let busy = others == open.len() && self.busy_holder(w);
+            let waits = !self.terms.probes && !late && busy;
+            let odds = 1.0 - (-(others as f64) / open.len().max(1) as f64).exp();
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
         }
@@ -352,9 +474,13 @@
 
     // ---- room ----
 
-    fn room(&self, r: usize) -> f64 {
+    fn room(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
-        runner.cap.floor() - runner.mine
+        match self.terms.probes {
+            true if now < runner.reported + self.fresh_s => runner.free,
+            true => 0.0,
+            false => runner.cap.floor() - runner.mine,
+        }
     }
 
     fn has_room(&self, r: usize, now: f64) -> bool {
@@ -362,29 +488,39 @@
         if !runner.at.ready
             || runner.cold_left <= self.fetch_s
             || now < runner.left_until
-            || runner.resting.is_some_and(|t| now < t.max(runner.trial.unwrap_or(t)))
+            || !runner.tried(now)
         {
             return false;
         }
-        runner.room >= 1.0 || runner.mine <= 0.0
+        runner.room >= 1.0 || runner.mine <= 0.0 && !self.terms.probes
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
         let (work, runner) = (&self.works[w as usize], &self.runners[r]);
         // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits
         // has no holder among the runners with room.
+        let (job, probes) = (&work.job, self.terms.probes);
         if work.waits
-            || work.spare > 0.0 && runner.room < work.job.slots + work.spare
-            || self.cold_size(&work.job) > runner.cold_left
-            || !self.of_kind(w, r)
-            || work.avoid.0 == r && now < work.avoid.1
-            || runner.shunned(work.job.category, now)
-            || !self.may_go(w, r, now)
-            || runner.resting.is_some() && self.category(w).repeat != Repeat::Rerunnable
+            || work.spare > 0.0 && runner.room < job.slots + work.spare
+            || self.cold_size(job) > runner.cold_left
+            || !self.usable(w, r, now)
         {
             return false;
         }
-        work.job.slots <= runner.room || runner.mine <= 0.0
+        job.slots <= runner.room && job.memory <= runner.free_memory || runner.mine <= 0.0 && !probes
+    }
+
+    /// A runner that a work item might use, whatever its room.
+    fn usable(&self, w: u32, r: usize, now: f64) -> bool {
+        let (work, runner) = (&self.works[w as usize], &self.runners[r]);
+        runner.at.ready
+            && self.of_kind(w, r)
+            && (work.avoid.0 != r || now >= work.avoid.1)
+            && !runner.shunned(work.job.category, now)
+            && now >= runner.left_until
+            && self.may_go(w, r, now)
+            && (runner.resting.is_none()
+                || runner.tried(now) && self.category(w).repeat == Repeat::Rerunnable)
     }
 
     /// What may still be sent. Guards against pushing over a runner that has just started: the work sent to
@@ -414,7 +550,7 @@
     /// one is what they have at the least. 0.75 since slots may outnumber cores.
     fn size_up(&mut self, kind: u8, now: f64) {
         let like = || self.chosen.iter().map(|&r| &self.runners[r]).filter(|r| r.at.kind == kind);
-        let most = like().map(|r| r.most).fold(CAP_START, f64::max);
+        let most = like().map(|r| r.most.max(r.slots)).fold(CAP_START, f64::max);
         let warm = like().filter(|r| now > r.at.born + self.terms.cold_s);
         let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
         for &r in &self.chosen {
@@ -448,6 +584,7 @@
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
+                (runner.free, runner.reported) = (0.0, now);
                 // Guards against a runner full of others' work, or hung with a full queue: a mild bad sign.
                 self.weigh(ho.runner, now, 1.0);
             }
@@ -572,6 +709,9 @@
     fn look(&mut self, host: &mut impl Host) {
         let now = host.now();
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
+        self.fresh_s = FRESH * self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
+        let lately = self.terms.probes && now < self.waited_at + 5.0;
+        self.wait_s = self.waits.quantile(0.5).filter(|_| lately).unwrap_or(0.0);
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
@@ -614,10 +754,14 @@
         // Guards against taking a wait behind our own long jobs for silence.
         let full = self.runners[r].running >= self.runners[r].most.max(1.0);
         let quiet_s = match ho.started {
-            None if self.terms.tells_start && !full => QUIET_S,
+            None if self.terms.tells_start && !full => {
+                QUIET_S + if self.terms.probes { 3.0 * run } else { 0.0 }
+            }
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
+        // Guards against a queue that no report tells of: what waits there for its start says that it is full.
+        let waits = self.terms.probes && ho.started.is_none() && now > ho.sent + PROMPT_S;
         // Guards against a hand-off never taken by a runner that is well otherwise: taking is said at once.
         let unsaid = self.terms.tells_taking && ho.moved <= ho.sent && now > ho.sent + QUIET_S;
         let spoke = self.runners[r].heard.max(if unsaid { self.runners[r].took } else { 0.0 });
@@ -628,6 +772,9 @@
             self.works[w as usize].out.as_mut().unwrap().doubts += 1;
             self.weigh(r, now, 2.6);
         }
+        if waits {
+            (self.runners[r].free, self.runners[r].reported) = (0.0, now);
+        }
         let ho = self.works[w as usize].out.as_ref().unwrap();
         let left = if ho.share > 0.0 { (ho.moved - ho.sent) / ho.share * (1.0 - ho.share) } else { 0.0 };
         let stuck = ho.doubts > 0 && now - ho.moved > quiet_s || left > 2.0 * run && now + left > self.due(w);
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -57,6 +57,14 @@
 }
 
 pub fn read_terms(info: &Stated) -> Result<Terms, String> {
+    let fields: Vec<&str> = info.text("Report.Fields").split(',').collect();
+    let meaning = |name: &str| {
+        let field = ["x0", "x1"].into_iter().zip(["Domain.ReportX0", "Domain.ReportX1"]);
+        let field = field.filter(|(_, path)| info.text(path) == name).map(|(field, _)| field).next()?;
+        fields.iter().position(|f| *f == field)
+    };
+    let free_slots_at = meaning("free_slots");
+    let on_probe = info.yes("Limits.Probes")? && info.text("Report.How") == "on_probe";
     let mut categories = Vec::new();
     for n in 0..info.count("Categories.count")? {
         let path = |leaf: &str| format!("Categories.{n}.{leaf}");
@@ -87,6 +95,11 @@
         replicas: info.count("ReplicasOfMe")?.max(1),
         me: info.count("Me")?,
         asks_for_list: info.text("Discovery") == "on_request",
+        probes: on_probe && free_slots_at.is_some(),
+        free_slots_at,
+        free_memory_at: meaning("free_memory"),
+        zone: info.count("Zone")? as u16,
+        keeps_zone: info.number("Penalties.CrossZone")? > info.number("Penalties.Origin")?,
         tells_taking: false,
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{CAP_START, KEYS, KEY_AGE_S, REST_S};
+use crate::policy::{CAP_START, KEYS, KEY_AGE_S, PLACES, REST_S};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::Wi;
@@ -51,6 +51,11 @@
     pub avoid: (usize, f64),
     /// The runner its key belongs to by hash, as long as no entry says more.
     pub home: usize,
+    /// Where it might go, best first; how many of these it has asked in this round, and when it may again.
+    pub places: Ring<usize, PLACES>,
+    pub asked: usize,
+    pub ask_at: f64,
+    pub rounds: i32,
     /// P at a runner that does not hold its key, for the present pass.
     pub odds: f64,
     /// It waits for a busy holder rather than go elsewhere.
@@ -74,6 +79,10 @@
             ran: None,
             avoid: (usize::MAX, taken),
             home: usize::MAX,
+            places: Ring::default(),
+            asked: 0,
+            ask_at: taken,
+            rounds: 0,
             odds: 0.0,
             waits: false,
             value: 0.0,
@@ -92,6 +101,13 @@
     /// Our part of what it may be sent while cold.
     pub cold_part: f64,
     pub memory: f64,
+    /// Free by its last report less what was sent since; when that came, and when the probe out now went.
+    pub free: f64,
+    pub free_memory: f64,
+    pub reported: f64,
+    pub probed: Option<f64>,
+    /// The most slots seen free there.
+    pub slots: f64,
     /// What it ranks here by hash.
     pub rank: u64,
     /// What a warm runner of its kind does; kept up only while some are cold.
@@ -129,6 +145,11 @@
             cold_left: 0.0,
             cold_part: 0.0,
             memory: 0.0,
+            free: 0.0,
+            free_memory: f64::INFINITY,
+            reported: f64::NEG_INFINITY,
+            probed: None,
+            slots: 0.0,
             rank: 0,
             capacity: CAP_START,
             cap: CAP_START,
@@ -152,7 +173,7 @@
 
     pub fn restart(&mut self) {
         let old = std::mem::replace(self, Runner::new());
-        (self.mine, self.memory, self.rank) = (old.mine, old.memory, old.rank);
+        (self.mine, self.memory, self.rank, self.probed) = (old.mine, old.memory, old.rank, old.probed);
         (self.cold_sent, self.running) = (old.cold_sent, old.running);
     }
 }
@@ -181,6 +202,14 @@
     /// When last something held had waited half its spare time.
     pub(crate) crowded_at: f64,
     pub(crate) next_look: f64,
+    /// How long probes took; for how long a report is held for true; when the next probe may be due.
+    pub(crate) probe_times: Ring<f64, 16>,
+    pub(crate) fresh_s: f64,
+    pub(crate) next_seek: f64,
+    /// How long hand-offs waited for their start, the median of the last, and when that was learnt.
+    pub(crate) waits: Ring<f64, 8>,
+    pub(crate) wait_s: f64,
+    pub(crate) waited_at: f64,
     pub(crate) next_ask: f64,
     pub(crate) ask_again_s: f64,
     pub(crate) wake_at: f64,
@@ -210,6 +239,12 @@
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
             next_look: now,
+            probe_times: Ring::default(),
+            fresh_s: 0.0,
+            next_seek: f64::INFINITY,
+            waits: Ring::default(),
+            wait_s: 0.0,
+            waited_at: f64::NEG_INFINITY,
             next_ask,
             ask_again_s: 0.3,
             wake_at: f64::INFINITY,
@@ -223,6 +258,10 @@
         self.mine += sign * job.slots;
         self.room -= sign * job.slots;
         self.memory += sign * job.memory;
+        if sign > 0.0 {
+            self.free -= job.slots;
+            self.free_memory -= job.memory;
+        }
     }
 
     /// A hand-off has come back.
@@ -231,6 +270,11 @@
         self.running -= if ho.started.is_some() { 1.0 } else { 0.0 };
     }
 
+    /// It does not rest, or is due for a trial.
+    pub fn tried(&self, now: f64) -> bool {
+        self.resting.is_none_or(|until| now >= until.max(self.trial.unwrap_or(until)))
+    }
+
     pub fn shun(&mut self, category: usize) -> &mut (f64, f64) {
         let count = self.shuns.len().max(category + 1);
         self.shuns.resize(count, (0.0, f64::NEG_INFINITY));
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -35,6 +35,14 @@
     /// This dispatcher's number among them.
     pub me: usize,
     pub asks_for_list: bool,
+    /// Runners report their load to probes, and to nothing else.
+    pub probes: bool,
+    /// Where in a load report each figure stands.
+    pub free_slots_at: Option<usize>,
+    pub free_memory_at: Option<usize>,
+    pub zone: u16,
+    /// What crosses zones costs more than a fetch does.
+    pub keeps_zone: bool,
     /// Runners say at once that they take a hand-off, apart from its start.
     pub tells_taking: bool,
     pub tells_start: bool,
@@ -113,6 +121,7 @@
     fn defer(&mut self, wi: Wi, come_back_s: f64);
     fn write_off(&mut self, wi: Wi);
     fn cancel(&mut self, wi: Wi, ho: u16);
+    fn probe(&mut self, runner: usize);
     /// The handle is void from here on and may be given out again.
     fn forget(&mut self, wi: Wi);
     fn wake(&mut self, in_s: f64);
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -8,6 +8,7 @@
     WriteOff(Wi),
     Cancel(Wi, u16),
     Watch,
+    Probe(usize),
 }
 pub use Asked::*;
 
@@ -35,6 +36,9 @@
     fn cancel(&mut self, wi: Wi, ho: u16) {
         self.asked.push(Cancel(wi, ho));
     }
+    fn probe(&mut self, runner: usize) {
+        self.asked.push(Probe(runner));
+    }
     fn forget(&mut self, _: Wi) {}
     fn wake(&mut self, in_s: f64) {
         self.wake = self.now + in_s;
@@ -104,6 +108,10 @@
         wi.outcome(d, self, no, outcome, outcome == Outcome::Finished);
         d.decide(self);
     }
+    pub fn probed(&mut self, d: &mut Dispatcher, runner: usize, report: &[f32]) {
+        d.probed(self.now, runner, report);
+        d.decide(self);
+    }
     /// Lets time pass in looks.
     pub fn pass(&mut self, d: &mut Dispatcher, seconds: f64) {
         let end = self.now + seconds;
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -404,3 +404,48 @@
     assert!(matches!(host.ends(all[0])[..], [Defer(..)]), "it may run again elsewhere");
     assert_eq!(host.ends(all[1]), [WriteOff(all[1])]);
 }
+
+fn probing(replicas: usize) -> Terms {
+    Terms { probes: true, free_slots_at: Some(0), replicas, ..terms() }
+}
+
+#[test]
+fn held_work_asks_its_places_one_after_another_and_goes_where_a_slot_is_free() {
+    let (mut d, mut host) = start(probing(50), 8);
+    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let Probe(home) = host.asked[0] else { panic!("{:?}", host.asked) };
+    assert_eq!(host.asked.len(), 1, "one probe, and nothing is sent unseen");
+    host.probed(&mut d, home, &[0.0]);
+    let Probe(next) = host.asked[1] else { panic!("{:?}", host.asked) };
+    host.probed(&mut d, next, &[2.0]);
+    assert_eq!(host.sent_to(wi), [next]);
+    let again = host.take(&mut d, RERUNNABLE, 42);
+    assert_eq!(host.sent_to(again), [next], "one of its two slots is left by the same report");
+    let third = host.take(&mut d, RERUNNABLE, 42);
+    assert!(host.sent_to(third).is_empty());
+}
+
+#[test]
+fn work_whose_places_are_all_full_queues_at_its_home_by_the_cap() {
+    let (mut d, mut host) = start(probing(50), 3);
+    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let mut asked = Vec::new();
+    while host.sent_to(wi).is_empty() && asked.len() < 5 {
+        let Some(Probe(r)) = host.asked.last().cloned() else { panic!("{:?}", host.asked) };
+        asked.push(r);
+        host.probed(&mut d, r, &[0.0]);
+    }
+    assert_eq!((asked.len(), host.sent_to(wi)), (3, vec![asked[0]]));
+}
+
+#[test]
+fn a_probe_that_takes_long_or_fails_lets_the_next_be_asked_and_proves_nothing() {
+    let (mut d, mut host) = start(probing(50), 3);
+    let wi = host.take(&mut d, RERUNNABLE, 42);
+    host.pass(&mut d, 0.4);
+    assert!(host.asked.iter().filter(|a| matches!(a, Probe(_))).count() >= 2, "{:?}", host.asked);
+    let Probe(home) = host.asked[0] else { panic!() };
+    host.probed(&mut d, home, &[f32::NAN]);
+    host.probed(&mut d, home, &[-3.0]);
+    assert!(!host.sent_to(wi).contains(&home) && host.logged.is_empty());
+}
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -275,6 +275,10 @@
         }
     }
 
+    fn probe(&mut self, _: usize) {
+        // This protocol has no probe; the terms say so too.
+    }
+
     fn wake(&mut self, in_s: f64) {
         self.wake_at = self.now + in_s;
     }
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -122,6 +122,7 @@
     // This protocol has one way to the list, a watch, whatever the deployment's was, and a 202.
     terms.asks_for_list = true;
     terms.tells_taking = true;
+    terms.probes = false;
     if terms.must_ask_s <= 0.0 {
         terms.must_ask_s = 10.0;
     }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -75,6 +75,9 @@
     fn cancel(&mut self, wi: Wi, ho: u16) {
         self.reply.act(40, self.instance, &[&self.ids.client_id(wi), &ho.to_le_bytes()]);
     }
+    fn probe(&mut self, runner: usize) {
+        self.reply.act(60, self.instance, &[&self.ids.addresses[runner]]);
+    }
     fn forget(&mut self, wi: Wi) {
         self.ids.handles.remove(&self.ids.client_ids[wi.0 as usize]);
     }
@@ -212,6 +215,13 @@
                     wi.left(dispatcher, &mut Wire { ids, reply, instance, now });
                 }
             }
+            80 => {
+                if let Some(&runner) = ids.runners.get(&record.address(9)) {
+                    let report: [f32; 4] = std::array::from_fn(|n| record.f32(16 + 4 * n));
+                    let told = if record.u16(3) == 1 { (record.u8(15) as usize).min(4) } else { 0 };
+                    dispatcher.probed(now, runner, &report[..told]);
+                }
+            }
             120 => match (known, record.u8(15)) {
                 (Some(wi), 1) => wi.started(dispatcher, now, record.u16(7)),
                 (Some(wi), 2) => wi.progressed(dispatcher, now, record.u16(7), record.f32(16) as f64),
