--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -356,7 +356,7 @@
             if sent > 0 {
                 at = now + wait_s;
             } else if now >= at {
-                work.ask_at = now + self.fresh_s.max(wait_s) * 2f64.powi(work.rounds.min(8));
+                work.ask_at = now + (self.fresh_s / FRESH).max(wait_s) * 2f64.powi(work.rounds.min(8));
                 (at, work.rounds) = (work.ask_at, work.rounds + 1);
                 asked = if work.rounds == 1 || asked >= places.samples().len() { 0 } else { asked };
             }
@@ -376,10 +376,12 @@
                 let runner = &self.runners[**r];
                 self.usable(self.held[place], **r, now)
                     && work.job.slots <= runner.cap.floor() - runner.mine
+                    && now >= runner.refused + self.fresh_s
                     && self.cold_size(&work.job) <= runner.cold_left
             };
             let may = work.rounds > 0 && work.spare <= 0.0;
-            match work.places.samples().iter().find(|r| may && queues(r)).copied() {
+            let idlest = |r: &usize| (10.0 * self.runners[*r].busy) as i64;
+            match work.places.samples().iter().filter(|r| may && queues(r)).copied().min_by_key(idlest) {
                 Some(r) => self.send(host, place, r),
                 None => place += 1,
             }
@@ -396,6 +398,7 @@
         runner.free = free.unwrap_or(0.0).round();
         runner.free_memory = memory.unwrap_or(f64::INFINITY);
         runner.slots = runner.slots.max(runner.free);
+        runner.busy = figure(self.terms.busy_at).filter(|f| f.is_finite() && *f >= 0.0).unwrap_or(0.0);
         runner.reported = now;
         self.changed = true;
     }
@@ -418,8 +421,10 @@
             let late = work.job.repeat || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
-            // waits at one: for 5 s after a crowd, what pays under 0.4 of the best leaves a slot free.
-            let spare = if (worth < 0.4 * best || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            // waits at one: for 5 s after a crowd, what is late leaves a slot free, and what pays under 0.4 of
+            // the best where dear work cannot ask for a slot.
+            let cheap = worth < 0.4 * best && !self.terms.probes;
+            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
@@ -584,7 +589,7 @@
             }
             Outcome::Full => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
-                (runner.free, runner.reported) = (0.0, now);
+                (runner.free, runner.reported, runner.refused) = (0.0, now, now);
                 // Guards against a runner full of others' work, or hung with a full queue: a mild bad sign.
                 self.weigh(ho.runner, now, 1.0);
             }
@@ -754,9 +759,9 @@
         // Guards against taking a wait behind our own long jobs for silence.
         let full = self.runners[r].running >= self.runners[r].most.max(1.0);
         let quiet_s = match ho.started {
-            None if self.terms.tells_start && !full => {
-                QUIET_S + if self.terms.probes { 3.0 * run } else { 0.0 }
-            }
+            // Where others' work is not known, it may wait behind theirs as long as any did lately.
+            None if self.terms.probes => QUIET_S + 3.0 * run,
+            None if self.terms.tells_start && !full => QUIET_S,
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -98,6 +98,7 @@
         probes: on_probe && free_slots_at.is_some(),
         free_slots_at,
         free_memory_at: meaning("free_memory"),
+        busy_at: fields.iter().position(|f| *f == "queue").or(fields.iter().position(|f| *f == "util")),
         zone: info.count("Zone")? as u16,
         keeps_zone: info.number("Penalties.CrossZone")? > info.number("Penalties.Origin")?,
         tells_taking: false,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -104,7 +104,11 @@
     /// Free by its last report less what was sent since; when that came, and when the probe out now went.
     pub free: f64,
     pub free_memory: f64,
+    /// How busy it says it is, by its queue or its cores.
+    pub busy: f64,
     pub reported: f64,
+    /// When it last said 'full'.
+    pub refused: f64,
     pub probed: Option<f64>,
     /// The most slots seen free there.
     pub slots: f64,
@@ -147,7 +151,9 @@
             memory: 0.0,
             free: 0.0,
             free_memory: f64::INFINITY,
+            busy: 0.0,
             reported: f64::NEG_INFINITY,
+            refused: f64::NEG_INFINITY,
             probed: None,
             slots: 0.0,
             rank: 0,
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -40,6 +40,7 @@
     /// Where in a load report each figure stands.
     pub free_slots_at: Option<usize>,
     pub free_memory_at: Option<usize>,
+    pub busy_at: Option<usize>,
     pub zone: u16,
     /// What crosses zones costs more than a fetch does.
     pub keeps_zone: bool,
