The program is ready for the move: settings checked, what was learnt kept over a planned restart

Need: every setting that the module reads (Limits.Probes, Report.How and Fields, Domain.ReportX0 and X1, Zone, Penalties.CrossZone and Origin, ClassKind, ClassStretch) comes through the one reader, which now turns down what is negative, NaN, of the wrong length or an unknown word; ClassStretch=NaN and kinds over 255 had passed. The protocol has no probe: the program says so in one line and goes by caps. What still means the same after a planned restart (usual times by category and terms, slots and pace by name, address and start time) goes through a file named in the page, off by default.

--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -19,8 +19,8 @@
         match self.text(path) {
             "" => Ok(0.0),
             text => match text.parse::<f64>() {
-                Ok(number) if number.is_finite() => Ok(number),
-                _ => Err(format!("setting {path}: '{text}' is not a number")),
+                Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
+                _ => Err(format!("setting {path}: '{text}' is not a number of 0 or more")),
             },
         }
     }
@@ -45,13 +45,25 @@
         }
     }
 
-    /// The numbers of a comma list; the one at `place`, if it is there.
-    fn listed(&self, path: &str, place: usize) -> Result<Option<f64>, String> {
-        match self.text(path).split(',').nth(place) {
-            None | Some("") => Ok(None),
-            Some(text) => {
-                text.parse().map(Some).map_err(|_| format!("setting {path}: '{text}' is not a number"))
-            }
+    /// One of the words that are known there, or none.
+    fn word(&self, path: &str, known: &[&str]) -> Result<&str, String> {
+        let text = self.text(path);
+        match text.is_empty() || known.contains(&text) {
+            true => Ok(text),
+            false => Err(format!("setting {path}: '{text}' is not known")),
+        }
+    }
+
+    /// The numbers of a comma list; the one at `place` of `count`, if the list is there at all.
+    fn listed(&self, path: &str, place: usize, count: usize) -> Result<Option<f64>, String> {
+        let text = self.text(path);
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let numbers: Result<Vec<f64>, _> = text.split(',').map(str::parse).collect();
+        match numbers {
+            Ok(list) if list.len() == count && list[place].is_finite() => Ok(Some(list[place])),
+            _ => Err(format!("setting {path}: '{text}' is not a list of {count} numbers")),
         }
     }
 }
@@ -64,11 +76,13 @@
         fields.iter().position(|f| *f == field)
     };
     let free_slots_at = meaning("free_slots");
-    let on_probe = info.yes("Limits.Probes")? && info.text("Report.How") == "on_probe";
+    let how = info.word("Report.How", &["off", "inline", "on_probe"])?;
+    let on_probe = info.yes("Limits.Probes")? && how == "on_probe";
     let mut categories = Vec::new();
-    for n in 0..info.count("Categories.count")? {
+    let count = info.count("Categories.count")?;
+    for n in 0..count {
         let path = |leaf: &str| format!("Categories.{n}.{leaf}");
-        let scope = match info.text(&path("DedupScope")) {
+        let scope = match info.word(&path("DedupScope"), &["all", "zone", "cell"])? {
             "zone" => Scope::Zone,
             "cell" => Scope::Cell,
             _ => Scope::All,
@@ -82,19 +96,24 @@
         let stretch = info.number(&path("AimStretch"))?;
         categories.push(Category {
             due_s: info.seconds(&path("DueTimeUs"))?,
-            stretch: info.listed("Domain.ClassStretch", n)?.unwrap_or(stretch),
+            stretch: info.listed("Domain.ClassStretch", n, count)?.unwrap_or(stretch).max(0.0),
             payoff: info.number(&path("Payoff"))?,
             tardy: info.number(&path("TardyPayoff"))?,
             repeat,
             window_s: info.seconds(&path("WindowUs"))?,
-            kind: info.listed("Domain.ClassKind", n)?.filter(|kind| *kind >= 0.0).map(|kind| kind as u8),
+            kind: match info.listed("Domain.ClassKind", n, count)? {
+                Some(kind) if !(-1.0..255.0).contains(&kind) || kind.fract() != 0.0 => {
+                    return Err(format!("setting Domain.ClassKind: '{kind}' is not a kind"));
+                }
+                kind => kind.filter(|kind| *kind >= 0.0).map(|kind| kind as u8),
+            },
         });
     }
     let retry_after = info.yes("Limits.RetryAfter")?;
     Ok(Terms {
         replicas: info.count("ReplicasOfMe")?.max(1),
         me: info.count("Me")?,
-        asks_for_list: info.text("Discovery") == "on_request",
+        asks_for_list: info.word("Discovery", &["pushed", "on_request"])? == "on_request",
         probes: on_probe && free_slots_at.is_some(),
         free_slots_at,
         free_memory_at: meaning("free_memory"),
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -307,6 +307,31 @@
     }
 }
 
+/// What still means the same after a planned restart.
+impl Dispatcher {
+    /// A category's usual time, where one was measured.
+    pub fn usual(&self, category: usize) -> Option<f64> {
+        self.runs[category].mean()
+    }
+
+    /// When a runner started, the slots it was seen to have and its pace, where one was measured.
+    pub fn learnt(&self, r: usize) -> Option<(f64, f64, f64)> {
+        let runner = self.runners.get(r).filter(|runner| !runner.paces.samples().is_empty())?;
+        Some((runner.at.born, runner.most.max(runner.slots), runner.pace))
+    }
+
+    pub fn carry_usual(&mut self, category: usize, seconds: f64) {
+        self.runs[category].push(seconds);
+        self.usual[category] = seconds;
+    }
+
+    pub fn carry_runner(&mut self, r: usize, slots: f64, pace: f64) {
+        let runner = &mut self.runners[r];
+        (runner.most, runner.pace) = (slots, pace);
+        runner.paces.push(pace);
+    }
+}
+
 impl Dispatcher {
     pub(crate) fn place(&mut self, work: Work) -> u32 {
         let id = self.free.pop().unwrap_or(self.works.len() as u32);
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -449,3 +449,16 @@
     host.probed(&mut d, home, &[-3.0]);
     assert!(!host.sent_to(wi).contains(&home) && host.logged.is_empty());
 }
+
+#[test]
+fn what_was_learnt_before_a_planned_restart_counts_from_the_first_second() {
+    let (mut d, mut host) = start(Terms { replicas: 2, ..terms() }, 1);
+    d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0, ..runner(0) }))]);
+    assert_eq!((d.usual(RERUNNABLE), d.learnt(0)), (None, None));
+    d.carry_usual(RERUNNABLE, 0.1);
+    // 0.32 s of work may be sent: no item of the stated half second, but one of the carried 0.1 s.
+    let wi = host.take(&mut d, RERUNNABLE, 0);
+    assert_eq!((host.sent_to(wi), d.usual(RERUNNABLE)), (vec![0], Some(0.1)));
+    d.carry_runner(0, 5.0, 1.5);
+    assert_eq!(d.learnt(0), Some((100.0, 5.0, 1.5)));
+}
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Where clients and runners meet: one task owns the decisions, turns what happens into calls on them, and
 //! carries out what they ask.
 use crate::http::{Answer, Outgoing, Reply};
+use crate::learnt::{Known, Learnt, Usual};
 use crate::list::{Life, Member, Told};
 use crate::runners::{self, Broken, Errand, Pool, Runner};
 use bytes::Bytes;
@@ -168,6 +169,8 @@
     /// A work item may be at two runners at once.
     two_at_once: bool,
     may_cancel: bool,
+    /// What an earlier process learnt of runners that the list has not named yet.
+    carried: HashMap<String, Known>,
     /// When the process is to have settled everything.
     end_at: f64,
 }
@@ -330,6 +333,7 @@
             come_back_s,
             two_at_once,
             may_cancel,
+            carried: HashMap::new(),
             end_at: f64::INFINITY,
         };
         Exchange { dispatcher, desk }
@@ -577,11 +581,11 @@
     }
 
     /// The list as it was before the start.
-    pub fn known(&mut self, told: Told) {
-        self.apply(told, News::Cached);
+    pub fn known(&mut self, told: Told) -> usize {
+        self.apply(told, News::Cached)
     }
 
-    fn apply(&mut self, told: Told, news: News) {
+    fn apply(&mut self, told: Told, news: News) -> usize {
         // Half of the grace: the rest is for what lies between the list's writing and our reading.
         let shut_at = self.desk.now + 0.5 * self.desk.drain_s;
         if news != News::Changes {
@@ -596,6 +600,50 @@
         self.desk.has_list.set(news != News::Cached || !entries.is_empty());
         self.dispatcher.listed(self.desk.now, news, &entries);
         self.bury(&entries);
+        self.carry(&entries)
+    }
+
+    // ---- what outlives a planned restart ----
+
+    pub fn learnt(&self, terms: &[u64]) -> Learnt {
+        let usual = |(n, &terms)| self.dispatcher.usual(n).map(|seconds| Usual { terms, seconds });
+        let known = |(r, runner): (usize, &Rc<Runner>)| {
+            let (born, slots, pace) = self.dispatcher.learnt(r)?;
+            let started = if born.is_finite() { born + self.desk.clock.unix } else { 0.0 };
+            let (name, address) = (runner.name.clone(), runner.address.get().to_string());
+            Some(Known { name, address, started, slots, pace })
+        };
+        Learnt {
+            usuals: terms.iter().enumerate().filter_map(usual).collect(),
+            runners: self.desk.runners.iter().enumerate().filter_map(known).collect(),
+            ..Learnt::default()
+        }
+    }
+
+    /// How many categories it was of use for; runners follow as the list names them.
+    pub fn take_up(&mut self, learnt: Learnt, terms: &[u64]) -> usize {
+        self.desk.carried = learnt.runners.into_iter().map(|known| (known.name.clone(), known)).collect();
+        let usual = |u: &Usual| Some((terms.iter().position(|t| *t == u.terms)?, u.seconds));
+        let usuals = learnt.usuals.iter().filter_map(usual);
+        usuals.map(|(n, seconds)| self.dispatcher.carry_usual(n, seconds)).count()
+    }
+
+    /// Only for the same process at the same address; a runner that started since is cold and unknown.
+    fn carry(&mut self, entries: &[(usize, Option<Listed>)]) -> usize {
+        let mut carried = 0;
+        for &(place, listed) in entries {
+            let runner = &self.desk.runners[place];
+            let Some(known) = self.desk.carried.remove(&*runner.name) else { continue };
+            let born =
+                if known.started > 0.0 { known.started - self.desk.clock.unix } else { f64::NEG_INFINITY };
+            // 10 ms: clocks are read twice, processes take longer to start.
+            let same = |listed: Listed| listed.born == born || (listed.born - born).abs() < 0.01;
+            if listed.is_some_and(same) && runner.address.get().to_string() == known.address {
+                self.dispatcher.carry_runner(place, known.slots, known.pace);
+                carried += 1;
+            }
+        }
+        carried
     }
 
     /// Guards against waiting for word of jobs whose machine vanished without one: a process that has started
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -2,6 +2,7 @@
 mod clients;
 mod exchange;
 mod http;
+mod learnt;
 mod list;
 mod logger;
 mod runners;
@@ -21,9 +22,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{watch, Notify, Semaphore};
+use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Descriptors for the program itself: its streams, the runtime's, the listener, the list are ten in all.
 const SPARE: usize = 16;
@@ -36,6 +37,8 @@
 /// by the decisions' own margin; with peers, twice what a usual job takes.
 const LAST_S: f64 = 0.2;
 const MOVE_S: f64 = 2.0;
+/// Everything is settled by then: the exchange answers at once or never.
+const KEEP: Duration = Duration::from_millis(100);
 
 /// Guards against a predecessor under the same address that has not quite ended.
 async fn bind(at: SocketAddr, clock: Clock) -> std::io::Result<TcpListener> {
@@ -67,7 +70,7 @@
     }
 }
 
-async fn serve(start: Start) -> Result<(), String> {
+async fn serve(mut start: Start) -> Result<(), String> {
     let clock = Clock::start();
     // First of all: until someone listens to them, these end the process on the spot.
     let listen_to = |kind| signal(kind).map_err(|error| error.to_string());
@@ -117,6 +120,11 @@
         stamps: Cell::new(0),
     });
     let alone = start.terms.replicas <= 1;
+    if start.probes_allowed {
+        log::warn!("the page allows probes, this protocol has none: nobody is probed");
+    }
+    let terms = door.categories.iter().zip(&start.terms.categories).map(|(name, c)| learnt::terms(name, c));
+    let (terms, deployment): (Vec<u64>, u64) = (terms.collect(), start.deployment);
     let longest = door.expiries.iter().copied().fold(0.0, f64::max);
     let parts = Parts {
         clock,
@@ -132,7 +140,19 @@
     };
     let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
     let mut exchange = Exchange::new(dispatcher, parts);
-    exchange.known(start.known);
+    if let Some(path) = &start.learnt {
+        match learnt::read(path, deployment) {
+            Ok(learnt) => {
+                let categories = exchange.take_up(learnt, &terms);
+                let runners = exchange.known(std::mem::take(&mut start.known));
+                log::info!("took up what was learnt of {categories} categories and {runners} runners");
+            }
+            Err(why) => log::warn!("what was learnt is not taken up from {}: {why}", path.display()),
+        }
+    }
+    if !start.known.members.is_empty() {
+        exchange.known(start.known);
+    }
     log::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
     spawn_local(reload(hup, start.page, list_at));
@@ -158,6 +178,17 @@
     while clock.now() < told + COMING_S || door.busy.get() > 0 && clock.now() < end_at + 0.2 {
         sleep(Duration::from_millis(10)).await;
     }
+    if let Some(path) = &start.learnt {
+        let (give, got) = oneshot::channel();
+        tray.call(move |exchange| drop(give.send(exchange.learnt(&terms)))).await;
+        match timeout(KEEP, got).await.ok().and_then(Result::ok) {
+            Some(learnt) => match learnt::write(path, deployment, learnt) {
+                Ok(()) => log::info!("what was learnt is kept in {}", path.display()),
+                Err(why) => log::warn!("what was learnt is not kept in {}: {why}", path.display()),
+            },
+            None => log::warn!("what was learnt is not kept"),
+        }
+    }
     log::info!("ends with {} unanswered", door.busy.get());
     // For the last bytes, and for runners that are told to give a job up.
     sleep(Duration::from_millis(50)).await;
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -1,9 +1,11 @@
 //! What a dispatcher is told at its start.
+use crate::exchange::number;
 use crate::list::Told;
 use sagetrail_policy::{read_terms, Stated, Terms};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Deserialize)]
 struct Page {
@@ -13,6 +15,7 @@
     seed: Option<String>,
     limits: Option<Limits>,
     known: Option<Value>,
+    learnt: Option<PathBuf>,
     settings: Value,
 }
 
@@ -28,6 +31,10 @@
     pub seed: u64,
     pub descriptors: usize,
     pub known: Told,
+    /// Where what was learnt is kept over a planned restart, if anywhere, and a number for the deployment.
+    pub learnt: Option<PathBuf>,
+    pub deployment: u64,
+    pub probes_allowed: bool,
     pub terms: Terms,
     pub categories: Vec<String>,
     /// How long a client of each waits at the most, where it does not say.
@@ -122,14 +129,14 @@
     // This protocol has one way to the list, a watch, whatever the deployment's was, and a 202.
     terms.asks_for_list = true;
     terms.tells_taking = true;
-    terms.probes = false;
+    let probes_allowed = std::mem::replace(&mut terms.probes, false);
     if terms.must_ask_s <= 0.0 {
         terms.must_ask_s = 10.0;
     }
     let names = Names { zones: strings(&page.settings["Dcs"]), kinds: strings(&page.settings["Kinds"]) };
     let of = |leaf: &str, n: usize| format!("Categories.{n}.{leaf}");
     let count = terms.categories.len();
-    let categories = (0..count).map(|n| stated.text(&of("Name", n)).to_string()).collect();
+    let categories: Vec<String> = (0..count).map(|n| stated.text(&of("Name", n)).to_string()).collect();
     let expiries: Result<_, _> = (0..count).map(|n| stated.seconds(&of("ExpiryUs", n))).collect();
     let or = |said: f64, usual: f64| if said > 0.0 { said } else { usual };
     let seed = page.seed.unwrap_or_default();
@@ -144,6 +151,9 @@
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed '{seed}' is not a number"))?,
         descriptors: page.limits.and_then(|limits| limits.sockets).unwrap_or(1024),
         known,
+        learnt: page.learnt,
+        deployment: number(&format!("{categories:?} {:?}", names.kinds)),
+        probes_allowed,
         terms,
         categories,
         expiries: expiries?,
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -2,6 +2,7 @@
 mod stage;
 use stage::*;
 use std::net::TcpStream;
+use std::path::PathBuf;
 use std::time::Instant;
 
 #[test]
@@ -617,3 +618,120 @@
     // So the third is held, although two were handed out at first.
     stage.runners[0].nothing(300);
 }
+
+fn serves(at: std::net::SocketAddr) {
+    let start = Instant::now();
+    while TcpStream::connect(at).is_err() {
+        assert!(start.elapsed() < LONG, "the program listens");
+        pause(5);
+    }
+}
+
+#[test]
+fn what_was_learnt_survives_a_planned_restart_and_the_rest_is_fresh() {
+    let kept = file();
+    let with = |page: String| page.replacen('{', &format!(r#"{{"learnt":{kept:?},"#), 1);
+    let mut stage = Stage::of(1, 1024, with);
+    let first = |stage: &Stage| {
+        let mut clients: Vec<Client> = (0..3).map(|_| stage.client()).collect();
+        let ids: Vec<String> = clients.iter_mut().map(|client| client.hand_in("rerun", "9000m")).collect();
+        let mut handed = 0;
+        while let Some(job) = stage.runners[0].poll(250) {
+            job.take();
+            handed += 1;
+        }
+        for _ in 0..2 {
+            let done = |id: &String| assert_eq!(stage.news(id, "s-0", r#""done","result":"a""#), 204);
+            ids.iter().for_each(done);
+            while let Some(job) = stage.runners[0].poll(100) {
+                job.take();
+            }
+        }
+        clients.iter_mut().for_each(|client| assert_eq!(client.answer().body, "a", "answered once, in full"));
+        handed
+    };
+    assert_eq!(first(&stage), 2, "a cap starts at two");
+    let entry = stage.runners[0].entry("Ready", 0);
+    let restarted = stage.page.replace(&entry, &stage.runners[0].entry("Ready", 1_000_000_000_000));
+    let back = stage.page.replacen(&format!(r#""learnt":{kept:?},"#), "", 1);
+    // The same again; with another process of the runner; the way back to the page without it.
+    let same = ("of 1 categories and 1 runners", stage.page.clone());
+    let mut says = "what was learnt is not taken up";
+    for (next, page) in [same, ("of 1 categories and 0 runners", restarted), ("serves on", back)] {
+        stage.term();
+        let (code, log) = stage.ended();
+        assert_eq!(code, Some(0), "{log}");
+        let kept = log.contains("what was learnt is kept") && log.contains("ends with 0 unanswered");
+        assert!(kept && log.contains(says), "{log}");
+        (stage.child, says) = (launch(&file(), &page), next);
+        serves(stage.at);
+        assert_eq!(first(&stage), 2, "what may be out there is fresh");
+    }
+    stage.term();
+    let (_, log) = stage.ended();
+    assert!(log.contains(says) && !log.contains("learnt"), "{log}");
+}
+
+#[test]
+fn a_file_of_what_was_learnt_that_cannot_be_used_is_a_fresh_start() {
+    let whole = r#"{"version":1,"deployment":1,"written":0,"usuals":[],"runners":[]}"#;
+    let bad = ["", "{", &whole[..40], &whole.replace(":1,\"d", ":9,\"d"), whole, &"x".repeat(2 << 20)];
+    let all: Vec<(PathBuf, Stage)> = bad
+        .iter()
+        .map(|text| {
+            let kept = file();
+            if !text.is_empty() {
+                std::fs::write(&kept, text).unwrap();
+            }
+            let with = |page: String| page.replacen('{', &format!(r#"{{"learnt":{kept:?},"#), 1);
+            let stage = Stage::of(1, 1024, with);
+            stage.term();
+            (kept, stage)
+        })
+        .collect();
+    for (kept, mut stage) in all {
+        let (code, log) = stage.ended();
+        assert_eq!((code, log.matches("is not taken up").count()), (Some(0), 1), "{log}");
+        let text = std::fs::read_to_string(kept).unwrap();
+        assert!(text.starts_with(r#"{"version":1"#), "a good one stands there in the end");
+    }
+}
+
+#[test]
+fn a_setting_that_makes_no_sense_ends_the_start_with_one_line_that_names_it() {
+    let changes = [
+        (r#""ColdFrom":0.2"#, r#""ColdFrom":-0.2"#, "Safety.ColdFrom"),
+        (r#""How":"off""#, r#""How":"sometimes""#, "Report.How"),
+        (r#""Discovery":"on_request""#, r#""Discovery":"guess""#, "Discovery"),
+        (r#""TellsStart":true"#, r#""TellsStart":true,"ClassStretch":"NaN,1""#, "Domain.ClassStretch"),
+        (r#""TellsStart":true"#, r#""TellsStart":true,"ClassKind":[0]"#, "Domain.ClassKind"),
+        (r#""MayCancel":true"#, r#""Probes":"perhaps","MayCancel":true"#, "Limits.Probes"),
+        (r#""Me":0"#, r#""Me":0,"Penalties":{"CrossZone":"dear"}"#, "Penalties.CrossZone"),
+    ];
+    for (old, new, names) in changes {
+        let page = page(free(), free(), 1024, &[]);
+        assert!(page.contains(old));
+        let (code, log) = ended(&mut launch(&file(), &page.replace(old, new)));
+        assert_eq!((code, log.lines().count()), (Some(1), 1), "{log}");
+        assert!(log.contains(names), "{log}");
+    }
+}
+
+#[test]
+fn where_the_page_allows_probes_the_program_says_that_there_are_none() {
+    let allowed = |page: String| {
+        let page = page.replace(r#""MayCancel":true"#, r#""MayCancel":true,"Probes":true"#);
+        let report = r#"{"Fields":["x0"],"How":"on_probe"}"#;
+        let page = page.replace(r#"{"Fields":[],"How":"off"}"#, report);
+        page.replace(r#""TellsStart":true"#, r#""TellsStart":true,"ReportX0":"free_slots""#)
+    };
+    let mut stage = Stage::of(1, 1024, allowed);
+    let mut client = stage.client();
+    let id = client.hand_in("rerun", "4000m");
+    stage.runners[0].next().take();
+    stage.news(&id, "s-0", r#""done","result":"a""#);
+    assert_eq!(client.answer().body, "a", "room is the cap's, as it was");
+    stage.term();
+    let (_, log) = stage.ended();
+    assert_eq!(log.matches("nobody is probed").count(), 1, "{log}");
+}
