--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -124,7 +124,9 @@
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
     fn find_home(&mut self, w: u32) {
         let (key, now) = (self.works[w as usize].job.key, self.last_pass);
-        let able = || self.chosen.iter().copied().filter(|&r| self.of_kind(w, r) && self.may_go(w, r, now));
+        let left = |r: usize| self.terms.probes && now < self.runners[r].left_until;
+        let fit = |r: &usize| self.of_kind(w, *r) && self.may_go(w, *r, now) && !left(*r);
+        let able = || self.chosen.iter().copied().filter(fit);
         let mut places = Ring::default();
         let home = match self.terms.probes {
             true => {
@@ -352,6 +354,10 @@
                     host.probe(r);
                 }
             }
+            // Guards against a cut that takes all its places: others come up in their stead.
+            if sent == 0 && now >= at && !places.samples().iter().any(|&r| self.usable(w, r, now)) {
+                self.find_home(w);
+            }
             let work = &mut self.works[w as usize];
             if sent > 0 {
                 at = now + wait_s;
@@ -388,8 +394,9 @@
         }
     }
 
-    /// A probe has come back, empty where it failed: then the runner counts as full for a moment.
-    pub fn probed(&mut self, now: f64, r: usize, report: &[f32]) {
+    /// A probe has come back, with a report where it was answered. Without one the runner counts as full for a
+    /// moment. Guards against a cut: who cannot be reached is left alone as after a hand-off that failed so.
+    pub fn probed(&mut self, now: f64, r: usize, outcome: Outcome, report: &[f32]) {
         let Some(runner) = self.runners.get_mut(r) else { return };
         self.probe_times.push(runner.probed.take().map_or(0.0, |t| now - t));
         let figure = |at: Option<usize>| at.and_then(|at| report.get(at)).map(|&f| f as f64);
@@ -400,6 +407,12 @@
         runner.slots = runner.slots.max(runner.free);
         runner.busy = figure(self.terms.busy_at).filter(|f| f.is_finite() && *f >= 0.0).unwrap_or(0.0);
         runner.reported = now;
+        if outcome != Outcome::Finished {
+            runner.refused = now;
+        }
+        if outcome == Outcome::NoConnection {
+            runner.left_until = now + 1.0;
+        }
         self.changed = true;
     }
 
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -109,7 +109,7 @@
         d.decide(self);
     }
     pub fn probed(&mut self, d: &mut Dispatcher, runner: usize, report: &[f32]) {
-        d.probed(self.now, runner, report);
+        d.probed(self.now, runner, Outcome::Finished, report);
         d.decide(self);
     }
     /// Lets time pass in looks.
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -462,3 +462,19 @@
     d.carry_runner(0, 5.0, 1.5);
     assert_eq!(d.learnt(0), Some((100.0, 5.0, 1.5)));
 }
+
+#[test]
+fn a_cut_that_takes_all_places_of_a_work_item_lets_others_come_up() {
+    let (mut d, mut host) = start(probing(50), 8);
+    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let mut cut = Vec::new();
+    while cut.len() < 4 {
+        let Some(Probe(r)) = host.asked.last().cloned() else { panic!("{:?}", host.asked) };
+        cut.push(r);
+        d.probed(host.now, r, Outcome::NoConnection, &[]);
+        d.decide(&mut host);
+    }
+    host.pass(&mut d, 0.5);
+    let to = host.sent_to(wi);
+    assert!(!to.is_empty() && to.iter().all(|r| !cut.contains(r)), "{to:?}, {cut:?}");
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -218,8 +218,8 @@
             80 => {
                 if let Some(&runner) = ids.runners.get(&record.address(9)) {
                     let report: [f32; 4] = std::array::from_fn(|n| record.f32(16 + 4 * n));
-                    let told = if record.u16(3) == 1 { (record.u8(15) as usize).min(4) } else { 0 };
-                    dispatcher.probed(now, runner, &report[..told]);
+                    let told = (record.u8(15) as usize).min(4);
+                    dispatcher.probed(now, runner, outcome(record.u16(3))?, &report[..told]);
                 }
             }
             120 => match (known, record.u8(15)) {
