--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -796,11 +796,16 @@
         let ho = self.works[w as usize].out.as_ref().unwrap();
         let left = if ho.share > 0.0 { (ho.moved - ho.sent) / ho.share * (1.0 - ho.share) } else { 0.0 };
         let stuck = ho.doubts > 0 && now - ho.moved > quiet_s || left > 2.0 * run && now + left > self.due(w);
+        // Guards against answers lost on the way back: a started job tells each beat, so one beat and a half
+        // without word means that it has ended or stands still, be its runner well or not.
+        let beat = self.terms.progress_s;
+        let ended = ho.started.is_some() && beat > 0.0 && now > ho.moved + 1.5 * beat;
         // Only off a runner judged unwell, or that never took it, while another try can still end in time.
         if unsaid {
             self.shun(r, category, now, 6.0);
         }
-        if (unsaid || stuck && self.runners[r].resting.is_some()) && rerun && self.may_resend(w, now) {
+        if (unsaid || ended || stuck && self.runners[r].resting.is_some()) && rerun && self.may_resend(w, now)
+        {
             self.cancel(host, w);
         }
     }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -478,3 +478,17 @@
     let to = host.sent_to(wi);
     assert!(!to.is_empty() && to.iter().all(|r| !cut.contains(r)), "{to:?}, {cut:?}");
 }
+
+#[test]
+fn a_started_job_without_word_for_a_beat_and_a_half_goes_elsewhere_though_its_runner_is_well() {
+    let (mut d, mut host) = start(terms(), 2);
+    let [lost, exclusive] = [RERUNNABLE, EXCLUSIVE].map(|category| host.take(&mut d, category, 0));
+    [lost, exclusive].iter().for_each(|wi| wi.started(&mut d, host.now, 0));
+    host.pass(&mut d, 1.3);
+    assert!(!host.asked.iter().any(|a| matches!(a, Cancel(..))), "a beat of one second may be late");
+    host.pass(&mut d, 0.4);
+    assert!(host.asked.contains(&Cancel(lost, 0)) && !host.asked.contains(&Cancel(exclusive, 0)));
+    assert!(host.logged.is_empty());
+    host.come(&mut d, lost, 0, Outcome::Cancelled);
+    assert_eq!(host.sent_to(lost).len(), 2);
+}
