--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -394,8 +394,8 @@
         }
     }
 
-    /// A probe has come back, with a report where it was answered. Without one the runner counts as full for a
-    /// moment. Guards against a cut: who cannot be reached is left alone as after a hand-off that failed so.
+    /// A probe has come back, with a report where it was answered. Without one the runner counts as full for
+    /// a moment. Guards against a cut: who cannot be reached is left alone as after a hand-off that failed so.
     pub fn probed(&mut self, now: f64, r: usize, outcome: Outcome, report: &[f32]) {
         let Some(runner) = self.runners.get_mut(r) else { return };
         self.probe_times.push(runner.probed.take().map_or(0.0, |t| now - t));
@@ -434,8 +434,8 @@
             let late = work.job.repeat || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
-            // waits at one: for 5 s after a crowd, what is late leaves a slot free, and what pays under 0.4 of
-            // the best where dear work cannot ask for a slot.
+            // waits at one: for 5 s after a crowd, what is late leaves a slot free, and what pays under 0.4
+            // of the best where dear work cannot ask for a slot.
             let cheap = worth < 0.4 * best && !self.terms.probes;
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
@@ -778,7 +778,7 @@
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
-        // Guards against a queue that no report tells of: what waits there for its start says that it is full.
+        // Guards against a queue that no report tells of: what waits there for its start says it is full.
         let waits = self.terms.probes && ho.started.is_none() && now > ho.sent + PROMPT_S;
         // Guards against a hand-off never taken by a runner that is well otherwise: taking is said at once.
         let unsaid = self.terms.tells_taking && ho.moved <= ho.sent && now > ho.sent + QUIET_S;
