--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -395,7 +395,7 @@
     }
 
     /// A probe has come back, with a report where it was answered. Without one the runner counts as full for
-    /// a moment. Guards against a cut: who cannot be reached is left alone as after a hand-off that failed so.
+    /// a moment. Guards against a cut: who cannot be reached is left alone, as after a failed hand-off.
     pub fn probed(&mut self, now: f64, r: usize, outcome: Outcome, report: &[f32]) {
         let Some(runner) = self.runners.get_mut(r) else { return };
         self.probe_times.push(runner.probed.take().map_or(0.0, |t| now - t));
