--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side, and the runners' call-backs, which come to the same address.
 use crate::exchange::{number, Order, Tray, Word};
-use crate::http::{next, Fault, Method, Reply, Request, Serving};
+use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
 use futures_util::{SinkExt, Stream};
 use sagetrail_policy::Job;
 use std::cell::{Cell, RefCell};
@@ -122,8 +122,7 @@
 }
 
 async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
-    stream.set_nodelay(true)?;
-    let mut wire = Framed::new(stream, Serving::default());
+    let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
     let mut ahead = None;
     loop {
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -509,3 +509,12 @@
 pub async fn next<C: Decoder>(wire: &mut Framed<TcpStream, C>) -> Option<Result<C::Item, C::Error>> {
     poll_fn(|cx| Pin::new(&mut *wire).poll_next(cx)).await
 }
+
+/// A connection as a wire of messages. Guards against a system that refuses to set the option: without it small
+/// messages go out a little later, and nothing else is lost.
+pub fn wire<C>(stream: TcpStream, codec: C) -> Framed<TcpStream, C> {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a connection's small messages may be held back: {error}");
+    }
+    Framed::new(stream, codec)
+}
--- a/crates/sagetrail/src/list.rs
+++ b/crates/sagetrail/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of runners: one watch, opened when the decisions ask for it; two while one list takes over from
 //! another.
 use crate::exchange::Tray;
-use crate::http::{next, AskList, Fault, Watching};
+use crate::http::{next, wire, AskList, Fault, Watching};
 use crate::start::Names;
 use futures_util::SinkExt;
 use serde::Deserialize;
@@ -15,7 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 
 /// A line comes every 2 s even if nothing changes; two missed and a little are the end of the watch. Guards
 /// against a list cut off, whose connection stays open and silent.
@@ -194,8 +193,7 @@
         let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
         let dial = timeout(Duration::from_secs_f64(DIAL_S), TcpStream::connect(place.at));
         let stream = dial.await.map_err(late)??;
-        stream.set_nodelay(true)?;
-        let mut wire = Framed::new(stream, Watching::new(place.at.to_string()));
+        let mut wire = wire(stream, Watching::new(place.at.to_string()));
         wire.send(AskList { after: place.after.get() }).await?;
         let (mut first, mut sound) = (true, true);
         loop {
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -1,6 +1,6 @@
 //! The runners' side: connections, and one errand at a time on each.
 use crate::exchange::{Clock, Exchange, Tray};
-use crate::http::{next, Answer, Calling, Outgoing};
+use crate::http::{next, wire, Answer, Calling, Outgoing};
 use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
@@ -216,7 +216,7 @@
         }
     };
     match timeout(within, TcpStream::connect(runner.address.get())).await {
-        Ok(Ok(stream)) => stream.set_nodelay(true).map(|()| (stream, permit)).map_err(|_| Broken::Unreached),
+        Ok(Ok(stream)) => Ok((stream, permit)),
         _ => Err(Broken::Unreached),
     }
 }
@@ -229,7 +229,7 @@
     };
     match opened {
         Ok((stream, permit)) => {
-            let wire = Framed::new(stream, Calling::new(runner.address.get().to_string()));
+            let wire = wire(stream, Calling::new(runner.address.get().to_string()));
             serve(pool, runner, wire, permit, errand).await;
         }
         Err(broken) => errand.ending.tell(Err(broken)),
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -58,6 +58,17 @@
     assert_eq!(client.answer().body, "own");
 }
 
+#[test]
+fn a_connection_that_refuses_an_option_serves_like_any() {
+    let stage = Stage::without_tcp_options();
+    stage.list.watch().tell(42, false, &[]);
+    let mut client = stage.client();
+    let id = client.hand_in("once", "4000m");
+    stage.runners[0].next().take();
+    assert_eq!(stage.news(&id, "s-0", r#""done","result":"a""#), 204);
+    assert_eq!(client.answer().status(), 200);
+}
+
 type First<'a> = &'a dyn Fn(&Stage, &Handed, &str, &str);
 
 /// Hands in a job, lets the first runner that gets it do something, and says whether the other gets it next
--- a/crates/sagetrail/tests/stage/mod.rs
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -1,5 +1,9 @@
 //! The program on a stage: a list, runners and clients played by the test, all over loopback. Every wait is
 //! bounded.
+use seccompiler::{
+    apply_filter, BpfProgram, SeccompAction, SeccompCmpArgLen, SeccompCmpOp, SeccompCondition, SeccompFilter,
+    SeccompRule,
+};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -302,6 +306,22 @@
         stage
     }
 
+    /// Where the system refuses all TCP options: a thread's filter goes on to the program that it starts.
+    pub fn without_tcp_options() -> Stage {
+        let (level, tcp) = (SeccompCmpArgLen::Dword, libc::IPPROTO_TCP as u64);
+        let tcp = SeccompCondition::new(1, level, SeccompCmpOp::Eq, tcp).unwrap();
+        let rules = [(libc::SYS_setsockopt, vec![SeccompRule::new(vec![tcp]).unwrap()])].into();
+        let (refuse, arch) = (SeccompAction::Errno(libc::EBADF as u32), std::env::consts::ARCH);
+        let filter =
+            SeccompFilter::new(rules, SeccompAction::Allow, refuse, arch.try_into().unwrap()).unwrap();
+        let filter: BpfProgram = filter.try_into().unwrap();
+        let start = move || {
+            apply_filter(&filter).unwrap();
+            Stage::start(1)
+        };
+        spawn(start).join().unwrap()
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.at).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
