--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,10 +17,16 @@
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
 pub const CAP_START: f64 = 2.0;
-/// So many dispatchers share a runner: few enough that the cap of each finds its part of the slots.
-const SHARERS: f64 = 8.0;
-/// At least so many runners of a kind are used: one may be cold and one unwell.
-const FEWEST: usize = 5;
+/// Up to so many dispatchers each sees enough of a runner by itself: its cap finds its part of the slots.
+const FEW: usize = 8;
+/// So many runners of a kind are used at the most, for the connections and the CPU of visiting them.
+const MOST: usize = 128;
+/// A key has so many times the places that its share of the arrivals fills: room for a crowd at some of them.
+const SPREAD: f64 = 2.0;
+/// That share is taken from so many: the rarest key that fills more than one of sixty runners shows.
+pub const ASKED: usize = 64;
+/// A wait is remembered so many times as long as it was: the longer the queue, the longer it takes to drain.
+const REMEMBERED: f64 = 4.0;
 /// A work item's places, where runners must be probed: with three in four slots taken, six all full are rare.
 pub const PLACES: usize = 4;
 /// So many are probed at once: one mostly has room, and each costs.
@@ -49,6 +55,7 @@
         d.waited_at = now;
         runner.heard = now;
         runner.running += 1.0;
+        runner.wait = (waited, now);
         runner.most = runner.most.max(runner.running);
         // Guards against a cap past the slots: with no 'full' before a long queue, a late start is the first
         // sign, a soft 'full'. Where more of ours ran before and nobody else sends, a lost job runs on.
@@ -115,6 +122,7 @@
     /// Takes a work item of a known category; it is held until `decide` finds it a runner.
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
+        self.asked.push(job.key);
         let id = self.place(Work::new(job, now));
         self.hold(now, id);
         Some(Wi(id))
@@ -122,8 +130,8 @@
 
     /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
-    fn find_home(&mut self, w: u32) {
-        let (key, now) = (self.works[w as usize].job.key, self.last_pass);
+    fn find_home(&mut self, w: u32, now: f64) {
+        let key = self.works[w as usize].job.key;
         let left = |r: usize| self.terms.probes && now < self.runners[r].left_until;
         let fit = |r: &usize| self.of_kind(w, *r) && self.may_go(w, *r, now) && !left(*r);
         let able = || self.chosen.iter().copied().filter(fit);
@@ -138,6 +146,11 @@
                 far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
                 all.first().copied()
             }
+            false if self.crowd() => {
+                let mut all: Vec<usize> = able().collect();
+                all.sort_unstable_by_key(|&r| std::cmp::Reverse(self.liking(key, r)));
+                self.best_place(w, all, now)
+            }
             false => able().max_by_key(|&r| self.liking(key, r)),
         };
         let work = &mut self.works[w as usize];
@@ -145,6 +158,23 @@
         (work.places, work.asked) = (places, 0);
     }
 
+    /// The place of least cost for a key among runners in its order: its own cost a wait, the others also a
+    /// fetch. Guards against hundreds of dispatchers that bring each key to runners of their own: all agree
+    /// on as many places as its share of the arrivals asks for, and each prefers one of these by rank.
+    fn best_place(&self, w: u32, mut all: Vec<usize>, now: f64) -> Option<usize> {
+        let Job { key, .. } = self.works[w as usize].job;
+        let asked = self.asked.samples();
+        let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
+        let places = (SPREAD * share * all.len() as f64).ceil() as usize;
+        let own = all.len().min(places);
+        all[..own].sort_unstable_by_key(|&r| !self.runners[r].rank);
+        let size = self.cold_size(&self.works[w as usize].job);
+        let takes = |r: usize| self.usable(w, r, now) && size <= self.cold_left(r, now);
+        let cost = |n: usize, r| self.wait_at(r, now) + if n < places { 0.0 } else { self.fetch_s };
+        let able = all.iter().enumerate().filter(|(_, r)| takes(**r)).map(|(n, &r)| (cost(n, r), r));
+        able.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, r)| r).or(all.first().copied())
+    }
+
     /// Who is liked better for a key: in the own zone where crossing is dearer than a fetch, then by hash.
     fn liking(&self, key: u32, r: usize) -> (bool, u64) {
         let runner = &self.runners[r];
@@ -154,7 +184,7 @@
 
     fn hold(&mut self, now: f64, w: u32) {
         self.changed = true;
-        self.find_home(w);
+        self.find_home(w, now);
         let Work { taken, job, .. } = self.works[w as usize];
         self.works[w as usize].holders = self.holders(job.key, now);
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
@@ -194,40 +224,27 @@
             (self.next_ask, self.ask_again_s) = (f64::INFINITY, 0.3);
         }
         self.next_look = now;
-        (0..self.held.len()).for_each(|place| self.find_home(self.held[place]));
+        (0..self.held.len()).for_each(|place| self.find_home(self.held[place], now));
     }
 
-    /// Guards against hundreds of connections, and caps that see too little of a runner each: who cannot use
-    /// all runners uses those ranking highest in a hash of its own number and theirs; as many, by themselves,
-    /// of a kind that some category needs.
+    /// Guards against hundreds of connections: who cannot use all runners uses those that rank highest in a
+    /// hash of its own number and theirs; as many, by themselves, of a kind that some category needs.
     fn choose(&mut self) {
-        // Who can ask needs no part of its own.
-        let all = self.terms.probes;
-        let part = if all { 1.0 } else { (SHARERS / self.terms.replicas as f64).min(1.0) };
+        let most = if self.terms.probes { usize::MAX } else { MOST };
         let (runners, categories) = (&self.runners, &self.terms.categories);
         let needed = |r: usize| categories.iter().find_map(|c| c.kind.filter(|k| *k == runners[r].at.kind));
         let mut ready: Vec<usize> = (0..runners.len()).filter(|&r| runners[r].at.ready).collect();
         ready.sort_unstable_by_key(|&r| (needed(r), !runners[r].rank, r));
-        let alike: Vec<usize> = ready.chunk_by(|&a, &b| needed(a) == needed(b)).map(|c| c.len()).collect();
-        self.chosen.clear();
-        let mut rest = &ready[..];
-        for len in alike {
-            // Guards against the CPU of visiting hundreds: 32 are choice enough, unless few share them.
-            let enough = if all { len } else { 32.max(2 * len / self.terms.replicas) };
-            let most = ((part * len as f64).ceil() as usize).min(enough).max(FEWEST).min(len);
-            self.chosen.extend(&rest[..most]);
-            rest = &rest[len..];
-        }
+        let alike = ready.chunk_by(|&a, &b| needed(a) == needed(b));
+        self.chosen = alike.flat_map(|kind| kind.iter().take(most)).copied().collect();
         self.chosen.sort_unstable();
     }
 
-    /// Our part of what a cold runner may be sent. An even part among many is under any work item's size, so
-    /// the parts halve along the ranks, 1/2, 1/4 and so on, the last twice: the whole at most, whoever comes.
+    /// How many dispatchers rank before this one at a runner, by the hash.
     fn share(&mut self, r: usize) {
         let (me, replicas, runner) = (self.terms.me, self.terms.replicas, &mut self.runners[r]);
         let before = |peer: &usize| *peer != me && draw(*peer as u64, runner.at.id) > runner.rank;
-        let ahead = (0..replicas).filter(before).count();
-        runner.cold_part = 0.5f64.powi((ahead + 1).min(replicas - 1) as i32);
+        runner.ahead = (0..replicas).filter(before).count();
     }
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
@@ -272,6 +289,23 @@
         }
     }
 
+    /// Others' work at the runners is not seen, and there is much of it.
+    pub(crate) fn crowd(&self) -> bool {
+        self.terms.probes || self.terms.replicas > FEW
+    }
+
+    /// How much longer work is believed to wait at a runner than at one of which nothing is known: as long as
+    /// it did there, if that was of late. A cold one, as far as its budget goes, spares it the usual wait.
+    fn wait_at(&self, r: usize, now: f64) -> f64 {
+        let runner = &self.runners[r];
+        let (waited, at) = runner.wait;
+        match () {
+            () if waited > PROMPT_S && now < at + REMEMBERED * waited => waited,
+            () if now < runner.at.born + self.terms.cold_s => -self.waits.quantile(0.5).unwrap_or(0.0),
+            () => 0.0,
+        }
+    }
+
     // ---- the mechanism ----
 
     fn pass(&mut self, host: &mut impl Host) {
@@ -356,7 +390,7 @@
             }
             // Guards against a cut that takes all its places: others come up in their stead.
             if sent == 0 && now >= at && !places.samples().iter().any(|&r| self.usable(w, r, now)) {
-                self.find_home(w);
+                self.find_home(w, now);
             }
             let work = &mut self.works[w as usize];
             if sent > 0 {
@@ -552,7 +586,13 @@
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
         // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
-        let mine = 0.7 * t.fall_multiple * present * t.fall_s * runner.cold_part;
+        let whole = 0.7 * t.fall_multiple * present * t.fall_s;
+        // Even parts among many are under any work item's size, and what is left to who has no work is lost:
+        // as many as the whole has room for, in rank order, may send so much as the largest usual one each.
+        let largest = self.usual.iter().copied().fold(0.0, f64::max) + self.fetch_s;
+        let heads = ((whole / largest) as usize).clamp(1, t.replicas);
+        let part = if heads == t.replicas { whole / heads as f64 } else { largest.min(whole) };
+        let mine = if runner.ahead < heads { part } else { 0.0 };
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
     }
@@ -570,6 +610,12 @@
         let like = || self.chosen.iter().map(|&r| &self.runners[r]).filter(|r| r.at.kind == kind);
         let most = like().map(|r| r.most.max(r.slots)).fold(CAP_START, f64::max);
         let warm = like().filter(|r| now > r.at.born + self.terms.cold_s);
+        // One of many sees too little of a runner: what all together have running on a warm one, if all are
+        // as busy as this one; three times what was seen at the most, in case they are not.
+        let grown =
+            self.chosen.iter().filter(|&&r| now > self.runners[r].at.born + self.terms.cold_s).count();
+        let all = self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown.max(1) as f64;
+        let most = if self.terms.replicas > FEW { most.max(all.min(3.0 * most)) } else { most };
         let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
         for &r in &self.chosen {
             let runner = &mut self.runners[r];
@@ -740,6 +786,7 @@
             }
         }
         (0..self.works.len() as u32).for_each(|w| self.doubt(host, w, now));
+        self.busy.push(self.runners.iter().map(|runner| runner.running).sum());
         let mut sized = [false; 256];
         for place in 0..self.chosen.len() {
             let r = self.chosen[place];
@@ -773,7 +820,7 @@
         let full = self.runners[r].running >= self.runners[r].most.max(1.0);
         let quiet_s = match ho.started {
             // Where others' work is not known, it may wait behind theirs as long as any did lately.
-            None if self.terms.probes => QUIET_S + 3.0 * run,
+            None if self.crowd() => QUIET_S + 3.0 * run,
             None if self.terms.tells_start && !full => QUIET_S,
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
@@ -786,6 +833,9 @@
         let heard = if ho.started.is_some() { ho.moved } else { ho.moved.max(spoke) };
         let silent = now - heard > quiet_s * (1.0 + ho.doubts as f64);
         let rerun = self.terms.categories[category].repeat != Repeat::Exclusive;
+        if ho.started.is_none() && now > ho.sent + PROMPT_S {
+            self.runners[r].wait = (now - ho.sent, now);
+        }
         if silent {
             self.works[w as usize].out.as_mut().unwrap().doubts += 1;
             self.weigh(r, now, 2.6);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{CAP_START, KEYS, KEY_AGE_S, PLACES, REST_S};
+use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, PLACES, REST_S};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::Wi;
@@ -98,8 +98,8 @@
     /// Room left, in the present pass.
     pub room: f64,
     pub cold_left: f64,
-    /// Our part of what it may be sent while cold.
-    pub cold_part: f64,
+    /// How many dispatchers rank before this one there.
+    pub ahead: usize,
     pub memory: f64,
     /// Free by its last report less what was sent since; when that came, and when the probe out now went.
     pub free: f64,
@@ -128,6 +128,8 @@
     pub pace: f64,
     pub cold_sent: VecDeque<(f64, f64)>,
     pub left_until: f64,
+    /// How long work last waited there for its start, and when that was learnt.
+    pub wait: (f64, f64),
     /// When it last gave a sign of a job; when it last took one.
     pub heard: f64,
     pub took: f64,
@@ -147,7 +149,7 @@
             mine: 0.0,
             room: 0.0,
             cold_left: 0.0,
-            cold_part: 0.0,
+            ahead: 0,
             memory: 0.0,
             free: 0.0,
             free_memory: f64::INFINITY,
@@ -167,6 +169,7 @@
             pace: 1.0,
             cold_sent: VecDeque::new(),
             left_until: f64::NEG_INFINITY,
+            wait: (0.0, f64::NEG_INFINITY),
             heard: f64::NEG_INFINITY,
             took: f64::NEG_INFINITY,
             evidence: 0.0,
@@ -202,6 +205,9 @@
     pub(crate) ratios: Ring<f64, 64>,
     /// How much longer than expected work took where its key was not held.
     pub(crate) fetches: Ring<f64, 32>,
+    /// The keys asked for last, and how much of ours was running at the last looks.
+    pub(crate) asked: Ring<u32, ASKED>,
+    pub(crate) busy: Ring<f64, 64>,
     pub(crate) fetch_s: f64,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
@@ -241,6 +247,8 @@
             chosen: Vec::new(),
             ratios: Ring::default(),
             fetches: Ring::default(),
+            asked: Ring::default(),
+            busy: Ring::default(),
             fetch_s: 0.0,
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
@@ -360,7 +368,8 @@
 
     pub(crate) fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        work.home == r || work.holders.samples().contains(&r)
+        // Among many the home is the best of its places, and a holder may be crowded.
+        work.home == r || (self.terms.probes || !self.crowd()) && work.holders.samples().contains(&r)
     }
 
     /// The runners in use that the key table lists for a key.
