--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -221,7 +221,7 @@
         }
         self.choose();
         if self.terms.asks_for_list && news != News::Cached {
-            (self.next_ask, self.ask_again_s) = (f64::INFINITY, 0.3);
+            (self.next_ask, self.ask_again_s) = (f64::INFINITY, self.terms.ask_spread_s());
         }
         self.next_look = now;
         (0..self.held.len()).for_each(|place| self.find_home(self.held[place], now));
@@ -250,7 +250,8 @@
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
     pub fn list_failed(&mut self, now: f64) {
         self.next_ask = now + self.ask_again_s * (0.5 + self.pcg.chance());
-        self.ask_again_s = (2.0 * self.ask_again_s).min(self.terms.must_ask_s / 8.0);
+        let most = self.terms.ask_spread_s().max(self.terms.must_ask_s / 8.0);
+        self.ask_again_s = (2.0 * self.ask_again_s).min(most);
     }
 
     /// The process is to end then: nothing in hand may outlast it.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -231,7 +231,9 @@
     pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
         let mut pcg = Pcg::new(seed);
         // Spread, since all dispatchers may start together and the list answers few calls a second.
-        let next_ask = if terms.asks_for_list { now + 0.5 * pcg.chance() } else { f64::INFINITY };
+        let next_ask =
+            if terms.asks_for_list { now + terms.ask_spread_s() * pcg.chance() } else { f64::INFINITY };
+        let ask_again_s = terms.ask_spread_s();
         Dispatcher {
             runs: vec![Ring::default(); terms.categories.len()],
             usual: terms.categories.iter().map(|c| c.due_s).collect(),
@@ -260,7 +262,7 @@
             wait_s: 0.0,
             waited_at: f64::NEG_INFINITY,
             next_ask,
-            ask_again_s: 0.3,
+            ask_again_s,
             wake_at: f64::INFINITY,
         }
     }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -362,6 +362,32 @@
     assert!(!host.asked.contains(&Watch), "subscribed");
 }
 
+#[test]
+fn calls_to_the_list_are_spread_after_a_common_start_and_after_a_failure() {
+    let asks = |seed| {
+        let mut d = Dispatcher::new(Terms { replicas: 100, asks_for_list: true, ..terms() }, seed, 0.0);
+        let mut host = Fake::default();
+        let mut ask = |d: &mut Dispatcher| {
+            while !host.asked.contains(&Watch) {
+                host.now += 0.1;
+                d.decide(&mut host);
+            }
+            host.asked.clear();
+            host.now
+        };
+        let first = ask(&mut d);
+        d.list_failed(first);
+        (first, ask(&mut d) - first)
+    };
+    let all: Vec<(f64, f64)> = (0..100).map(asks).collect();
+    for times in [all.iter().map(|a| a.0).collect::<Vec<_>>(), all.iter().map(|a| a.1).collect()] {
+        let most =
+            times.iter().map(|t| times.iter().filter(|u| (t - **u).abs() < 0.5).count()).max().unwrap();
+        assert!(most < 40, "{most} within a second");
+        assert!(times.iter().all(|t| *t < 10.0), "in time for the rule on drains");
+    }
+}
+
 /// One of a hundred dispatchers over sixty runners.
 fn one_of_many(me: usize) -> (Dispatcher, Fake) {
     start(Terms { replicas: 100, me, ..terms() }, 60)
