--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -612,11 +612,11 @@
         let most = like().map(|r| r.most.max(r.slots)).fold(CAP_START, f64::max);
         let warm = like().filter(|r| now > r.at.born + self.terms.cold_s);
         // One of many sees too little of a runner: what all together have running on a warm one, if all are
-        // as busy as this one; three times what was seen at the most, in case they are not.
+        // as busy as this one; 2.5 times what was seen at the most, in case they are not.
         let grown =
             self.chosen.iter().filter(|&&r| now > self.runners[r].at.born + self.terms.cold_s).count();
         let all = self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown.max(1) as f64;
-        let most = if self.terms.replicas > FEW { most.max(all.min(3.0 * most)) } else { most };
+        let most = if self.terms.replicas > FEW { most.max(all.min(2.5 * most)) } else { most };
         let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
         for &r in &self.chosen {
             let runner = &mut self.runners[r];
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -207,7 +207,7 @@
     pub(crate) fetches: Ring<f64, 32>,
     /// The keys asked for last, and how much of ours was running at the last looks.
     pub(crate) asked: Ring<u32, ASKED>,
-    pub(crate) busy: Ring<f64, 64>,
+    pub(crate) busy: Ring<f64, 256>,
     pub(crate) fetch_s: f64,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
