--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -60,12 +60,12 @@
     pub categories: Vec<Category>,
 }
 
-/// The list is left so much time for a call of each dispatcher: to read some hundred runners and write them out.
+/// The list is left so much time for a call of each dispatcher: to write out some hundred runners.
 const CALL_S: f64 = 0.05;
 
 impl Terms {
-    /// Over how long calls to the list are spread. Guards against all dispatchers asking at once, after a start
-    /// or a failure: the list works through calls in turn, and goes on with those that were given up.
+    /// Over how long calls to the list are spread. Guards against all dispatchers asking at once, after a
+    /// start or a failure: the list works through calls in turn, and goes on with those that were given up.
     pub fn ask_spread_s(&self) -> f64 {
         (CALL_S * self.replicas as f64).clamp(0.3, 0.5 * self.must_ask_s.max(0.6))
     }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -446,6 +446,20 @@
     assert!(host.logged.is_empty() && !host.asked.contains(&Cancel(wi, 0)), "{:?}", host.logged);
 }
 
+#[test]
+fn among_many_a_jam_is_no_illness_and_nothing_is_called_off_for_it() {
+    let (mut d, mut host) = one_of_many(0);
+    let first = host.take(&mut d, RERUNNABLE, 42);
+    host.now += 5.0;
+    first.started(&mut d, host.now, 0);
+    host.come(&mut d, first, 0, Outcome::Finished);
+    let all: Vec<Wi> = (0..8).map(|n| host.take(&mut d, RERUNNABLE, 50 + n)).collect();
+    all.iter().for_each(|wi| wi.accepted(&mut d, host.now, 0));
+    host.pass(&mut d, 4.0);
+    let off = |a: &Asked| matches!(a, Cancel(..));
+    assert!(host.logged.is_empty() && !host.asked.iter().any(off), "{:?}", host.logged);
+}
+
 #[test]
 fn who_cannot_use_all_runners_uses_those_that_rank_highest() {
     let (mut d, mut host) = start(Terms { replicas: 400, me: 399, ..terms() }, 300);
