--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -18,7 +18,10 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::codec::Framed;
 
-type Wire = Framed<TcpStream, Serving>;
+pub type Wire = Framed<TcpStream, Serving>;
+
+/// Where runners bring their news.
+const NEWS: &str = "/_jobs/news";
 
 /// An idle connection is kept this long: longer than clients pause, short of for ever.
 const IDLE_S: f64 = 75.0;
@@ -37,8 +40,11 @@
     pub expiries: Vec<f64>,
     /// The dispatcher has been told to end.
     pub ending: Cell<bool>,
-    /// Rises to true when it lets its connections go.
-    pub closing: watch::Receiver<bool>,
+    /// The operators empty it; and which time that was.
+    pub drained: Cell<bool>,
+    pub drains: Cell<u64>,
+    /// It lets its connections go.
+    pub closing: watch::Sender<bool>,
     /// There has been a list, be it an old one.
     pub listed: Rc<Cell<bool>>,
     /// When to come back, for who is turned away at the door; 0 where that is not passed on.
@@ -61,17 +67,51 @@
         longest.map(|(_, close)| close.notify_one()).is_some()
     }
 
+    /// Whether a connection is one of those to let go; one that brings runners' news only at the end.
+    fn sends_away(&self, news: bool) -> bool {
+        !news || self.ending.get()
+    }
+
+    fn lets_go(&self, news: bool) -> bool {
+        *self.closing.borrow() && self.sends_away(news)
+    }
+
     /// There is no place for one more work item: all connections are busy.
     fn crowded(&self) -> bool {
         self.open.get() > self.most && !self.spare_one()
     }
 
+    /// The operators empty the dispatcher, or end that; a word said twice is one word.
+    pub fn drain(self: &Rc<Self>, on: bool) {
+        if self.drained.replace(on) == on {
+            return;
+        }
+        log::info!("{}", if on { "drained by hand: clients are sent away" } else { "the drain is over" });
+        self.drains.set(self.drains.get() + 1);
+        if !on {
+            self.closing.send_replace(self.ending.get());
+            return;
+        }
+        let (door, this) = (self.clone(), self.drains.get());
+        spawn_local(async move {
+            sleep(Duration::from_secs_f64(LOOKED_S)).await;
+            // Guards against an end of the drain, or an end and another drain, in between.
+            if door.drained.get() && door.drains.get() == this {
+                door.closing.send_replace(true);
+            }
+        });
+    }
+
     fn stamp(&self) -> u64 {
         self.stamps.set(self.stamps.get() + 1);
         self.stamps.get()
     }
 }
 
+/// So long after a drain's begin the front has looked and sends nobody new: it asks every 0.1 s and goes on for
+/// 0.2 s, and as much again for a slow look. Who is sent away sooner comes straight back.
+const LOOKED_S: f64 = 0.5;
+
 /// Counts something as long as it lives, also through a panic.
 struct Counted<'a>(&'a Cell<usize>);
 
@@ -125,33 +165,29 @@
     let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
     let mut ahead = None;
+    let mut news = false;
     loop {
         let read = match ahead.take() {
             Some(request) => Some(Ok(request)),
-            None => request(&mut wire, fresh.take(), door).await,
+            None => request(&mut wire, fresh.take(), news, door).await,
         };
         let (mut reply, keep) = match read {
             None => return Ok(()),
             Some(Ok(request)) => {
                 let _busy = Counted::new(&door.busy);
                 let keep = request.keep;
+                news = request.target == NEWS;
                 let bare = request.method == Method::Head;
                 let Some(reply) = answer(request, &mut wire, &mut ahead, door).await else { return Ok(()) };
                 (Reply { bare, ..reply }, keep)
             }
             Some(Err(fault)) => {
-                let status = match fault {
-                    Fault::BodyTooLong => 413,
-                    Fault::HeadTooLong => 431,
-                    Fault::Malformed(_) => 400,
-                    Fault::Unfinished => 408,
-                    Fault::Broken(_) | Fault::Answer(_) => return Err(fault),
-                };
+                let Some(status) = fault.status() else { return Err(fault) };
                 (Reply::new(status, format!("{fault}\n")), false)
             }
         };
         let busy = Counted::new(&door.busy);
-        reply.close = !keep || *door.closing.borrow() || door.open.get() > door.most;
+        reply.close = !keep || door.lets_go(news) || door.open.get() > door.most;
         let close = reply.close;
         let sent = timeout(Duration::from_secs_f64(SLOW_S), wire.send(reply)).await;
         sent.map_err(|_| Fault::Unfinished)??;
@@ -163,7 +199,9 @@
 }
 
 /// Waits for the next request; `None` when the connection is to end without a word.
-async fn request(wire: &mut Wire, fresh: Option<Instant>, door: &Door) -> Option<Result<Request, Fault>> {
+async fn request(
+    wire: &mut Wire, fresh: Option<Instant>, news: bool, door: &Door,
+) -> Option<Result<Request, Fault>> {
     // Guards against shutting a new connection whose first request is under way: its client takes that for a
     // request lost, and sends nothing again, unlike on a connection that has served.
     let until = fresh.map(|opened| opened + Duration::from_secs_f64(FRESH_S));
@@ -173,7 +211,7 @@
     };
     let come = match come {
         Some(come) => come,
-        None => idle(wire, door).await?,
+        None => idle(wire, news, door).await?,
     };
     if let Some(read) = come {
         return read;
@@ -185,15 +223,15 @@
 }
 
 /// Waits as one of the idle connections; `None` if it is this one's turn to be shut.
-async fn idle(wire: &mut Wire, door: &Door) -> Option<Begun> {
+async fn idle(wire: &mut Wire, news: bool, door: &Door) -> Option<Begun> {
     let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
     door.idle.borrow_mut().insert(stamp, close.clone());
-    let mut closing = door.closing.clone();
+    let mut closing = door.closing.subscribe();
     let come = tokio::select! {
         biased;
         come = begun(wire) => Some(come),
         () = close.notified() => None,
-        _ = closing.wait_for(|closing| *closing) => None,
+        _ = closing.wait_for(|closing| *closing && door.sends_away(news)) => None,
         () = sleep(Duration::from_secs_f64(IDLE_S)) => None,
     };
     door.idle.borrow_mut().remove(&stamp);
@@ -214,7 +252,7 @@
 }
 
 /// Ends a connection so that the answer is still read: says the end, then reads what was under way.
-async fn linger(wire: Wire) -> Result<(), Fault> {
+pub async fn linger(wire: Wire) -> Result<(), Fault> {
     let mut stream = wire.into_inner();
     stream.shutdown().await?;
     let mut rest = [0; 1024];
@@ -231,18 +269,17 @@
     let looks = matches!(request.method, Method::Get | Method::Head);
     Some(match path {
         "/health/ready" if looks && door.ending.get() => Reply::new(503, "ending\n"),
+        "/health/ready" if looks && door.drained.get() => Reply::new(503, "drained by hand\n"),
         "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
         "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
-        "/_jobs/news" if request.method == Method::Post => {
-            match serde_json::from_slice::<Word>(&request.body) {
-                Ok(word) => {
-                    door.tray.call(move |exchange| exchange.word(word)).await;
-                    Reply::new(204, "")
-                }
-                Err(error) => Reply::new(400, format!("{error}\n")),
+        NEWS if request.method == Method::Post => match serde_json::from_slice::<Word>(&request.body) {
+            Ok(word) => {
+                door.tray.call(move |exchange| exchange.word(word)).await;
+                Reply::new(204, "")
             }
-        }
-        "/health/ready" | "/health/live" | "/_jobs/news" => Reply::new(405, "not with this method\n"),
+            Err(error) => Reply::new(400, format!("{error}\n")),
+        },
+        "/health/ready" | "/health/live" | NEWS => Reply::new(405, "not with this method\n"),
         _ if request.method != Method::Post => Reply::new(405, "jobs come by POST\n"),
         _ if door.crowded() => {
             Reply { come_back_s: door.come_back_s, ..Reply::new(503, "too many connections\n") }
--- /dev/null
+++ b/crates/sagetrail/src/console.rs
@@ -0,0 +1,108 @@
+//! The operators' door: a second address, one call to a connection.
+use crate::clients::{linger, Door, Wire};
+use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
+use futures_util::SinkExt;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// So many callers at once: a few people, their monitors, and some that never say a word.
+const PLACES: usize = 16;
+/// What the door needs: its places, its listener, and one for a caller that is just let in.
+pub const DESCRIPTORS: usize = PLACES + 2;
+/// A call must be whole and its answer written within this each; a caller waits no longer.
+const CALL_S: f64 = 1.0;
+
+pub struct Console {
+    door: Rc<Door>,
+    /// Callers whose call is not whole, the longest waiting first; ringing one shuts it out.
+    unheard: RefCell<BTreeMap<u64, Rc<Notify>>>,
+}
+
+impl Console {
+    pub fn new(door: Rc<Door>) -> Self {
+        Console { door, unheard: RefCell::default() }
+    }
+}
+
+pub async fn listen(listener: TcpListener, console: Rc<Console>) {
+    let places = Arc::new(Semaphore::new(PLACES));
+    for stamp in 0.. {
+        // Guards against callers that sit on their connections: the one that has said nothing longest goes.
+        let place = loop {
+            match timeout(Duration::from_millis(10), places.clone().acquire_owned()).await {
+                Ok(Ok(place)) => break place,
+                Ok(Err(_)) => return,
+                Err(_) => {
+                    let longest = console.unheard.borrow_mut().pop_first();
+                    longest.into_iter().for_each(|(_, leave)| leave.notify_one());
+                }
+            }
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let console = console.clone();
+                spawn_local(async move {
+                    let _place = place;
+                    let _ = call(stream, stamp, &console).await;
+                });
+            }
+            Err(error) => {
+                log::warn!("an operator's call could not be let in: {error}");
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+async fn call(stream: TcpStream, stamp: u64, console: &Console) -> Result<(), Fault> {
+    let mut wire: Wire = wire(stream, Serving::default());
+    let leave = Rc::new(Notify::new());
+    console.unheard.borrow_mut().insert(stamp, leave.clone());
+    let within = Duration::from_secs_f64(CALL_S);
+    let read = tokio::select! {
+        biased;
+        read = timeout(within, next(&mut wire)) => read.unwrap_or(Some(Err(Fault::Unfinished))),
+        () = leave.notified() => None,
+    };
+    console.unheard.borrow_mut().remove(&stamp);
+    let reply = match read {
+        None => return Ok(()),
+        Some(Ok(request)) => {
+            let bare = request.method == Method::Head;
+            Reply { bare, ..answer(request, console).await }
+        }
+        Some(Err(fault)) => Reply::new(fault.status().ok_or(fault)?, "not a call that can be read\n"),
+    };
+    let sent = timeout(within, wire.send(Reply { close: true, ..reply })).await;
+    sent.map_err(|_| Fault::Unfinished)??;
+    linger(wire).await
+}
+
+async fn answer(request: Request, console: &Console) -> Reply {
+    let Console { door, .. } = console;
+    let path = request.target.split('?').next().unwrap_or_default();
+    let looks = matches!(request.method, Method::Get | Method::Head);
+    let says = request.method == Method::Post;
+    match path {
+        "/healthcheck" if looks && door.ending.get() => Reply::new(503, "ending\n"),
+        "/healthcheck" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
+        // Asked of the exchange itself: guards against a yes from a process whose decisions stand still.
+        "/healthcheck" if looks => match door.tray.ask(|_| ()).await {
+            Some(()) => Reply::new(200, "ok\n"),
+            None => Reply::new(503, "it decides nothing\n"),
+        },
+        "/healthcheck/fail" | "/healthcheck/ok" if says => {
+            door.drain(path == "/healthcheck/fail");
+            Reply::new(200, "ok\n")
+        }
+        "/healthcheck" | "/healthcheck/fail" | "/healthcheck/ok" => Reply::new(405, "not with this method\n"),
+        _ => Reply::new(404, "no such call\n"),
+    }
+}
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -43,27 +43,63 @@
 
 type Call = Box<dyn FnOnce(&mut Exchange)>;
 
-/// Where the connections lay their calls on the exchange.
+/// Where the connections lay their calls on the exchange, and where the operators lay theirs, which go first:
+/// guards against a yes that waits behind a full tray.
 #[derive(Clone)]
-pub struct Tray(mpsc::Sender<Call>);
+pub struct Tray {
+    calls: mpsc::Sender<Call>,
+    first: mpsc::Sender<Call>,
+}
+
+/// What lies on the tray.
+pub struct Calls {
+    calls: mpsc::Receiver<Call>,
+    first: mpsc::Receiver<Call>,
+}
+
+impl Calls {
+    async fn next(&mut self) -> Option<Call> {
+        tokio::select! {
+            biased;
+            call = self.first.recv() => call,
+            call = self.calls.recv() => call,
+        }
+    }
+
+    fn at_hand(&mut self) -> Option<Call> {
+        self.first.try_recv().or_else(|_| self.calls.try_recv()).ok()
+    }
+}
 
 impl Tray {
     /// More than there are connections: each lays down one call at a time.
     const MOST: usize = 4096;
 
-    pub fn new() -> (Tray, mpsc::Receiver<Call>) {
-        let (tray, calls) = mpsc::channel(Tray::MOST);
-        (Tray(tray), calls)
+    /// More than an operators' door has places.
+    const FIRST: usize = 64;
+
+    pub fn new() -> (Tray, Calls) {
+        let (to_calls, calls) = mpsc::channel(Tray::MOST);
+        let (to_first, first) = mpsc::channel(Tray::FIRST);
+        (Tray { calls: to_calls, first: to_first }, Calls { calls, first })
+    }
+
+    /// Asks the exchange something ahead of all else; `None` if it could not answer.
+    pub async fn ask<T: 'static>(&self, ask: impl FnOnce(&mut Exchange) -> T + 'static) -> Option<T> {
+        let (tell, told) = oneshot::channel();
+        let call = Box::new(move |exchange: &mut Exchange| drop(tell.send(ask(exchange))));
+        self.first.send(call).await.ok()?;
+        told.await.ok()
     }
 
     pub async fn call(&self, call: impl FnOnce(&mut Exchange) + 'static) {
-        let _ = self.0.send(Box::new(call)).await;
+        let _ = self.calls.send(Box::new(call)).await;
     }
 
     /// The same from where nothing can wait.
     pub fn put(&self, call: impl FnOnce(&mut Exchange) + 'static) {
-        if let Err(mpsc::error::TrySendError::Full(call)) = self.0.try_send(Box::new(call)) {
-            let tray = self.0.clone();
+        if let Err(mpsc::error::TrySendError::Full(call)) = self.calls.try_send(Box::new(call)) {
+            let tray = self.calls.clone();
             spawn_local(async move { drop(tray.send(call).await) });
         }
     }
@@ -340,14 +376,14 @@
     }
 
     /// Takes all news at hand, then decides once; until the tray is gone.
-    pub async fn run(mut self, mut calls: mpsc::Receiver<Call>) {
+    pub async fn run(mut self, mut calls: Calls) {
         loop {
             let timer = self.desk.timers.first_key_value().map_or(f64::INFINITY, |(at, _)| at.0 as f64 / 1e6);
             let start = self.desk.starts.front().map_or(f64::INFINITY, |(at, _)| at + BEHIND_S);
             let due = self.desk.wake_at.min(timer).min(start);
             let call = tokio::select! {
                 biased;
-                call = calls.recv() => match call {
+                call = calls.next() => match call {
                     Some(call) => Some(call),
                     None => return,
                 },
@@ -357,7 +393,7 @@
             if let Some(call) = call {
                 self.guarded(call);
             }
-            while let Ok(call) = calls.try_recv() {
+            while let Some(call) = calls.at_hand() {
                 self.guarded(call);
             }
             self.guarded(Exchange::timers);
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -50,6 +50,19 @@
     }
 }
 
+impl Fault {
+    /// What a request that could not be read is answered with; `None` where nobody is there to read it.
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Fault::BodyTooLong => Some(413),
+            Fault::HeadTooLong => Some(431),
+            Fault::Malformed(_) => Some(400),
+            Fault::Unfinished => Some(408),
+            Fault::Broken(_) | Fault::Answer(_) => None,
+        }
+    }
+}
+
 fn malformed<T>(what: &'static str) -> Result<T, Fault> {
     Err(Fault::Malformed(what))
 }
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -1,5 +1,6 @@
 //! The real dispatcher: reads what it is told, binds its address and starts the parts.
 mod clients;
+mod console;
 mod exchange;
 mod http;
 mod learnt;
@@ -76,13 +77,18 @@
     let listen_to = |kind| signal(kind).map_err(|error| error.to_string());
     let (hup, mut term) = (listen_to(SignalKind::hangup())?, listen_to(SignalKind::terminate())?);
     let mut int = listen_to(SignalKind::interrupt())?;
-    let rest = start.descriptors.saturating_sub(SPARE);
+    let spare = SPARE + start.console.map_or(0, |_| console::DESCRIPTORS);
+    let rest = start.descriptors.saturating_sub(spare);
     if rest < FEWEST {
-        return Err(format!("{} sockets are too few, {} at least", start.descriptors, SPARE + FEWEST));
+        return Err(format!("{} sockets are too few, {} at least", start.descriptors, spare + FEWEST));
     }
     let (to_runners, more) = (rest / 4, rest / 16);
-    let listener = bind(start.listen, clock).await;
-    let listener = listener.map_err(|error| format!("listening on {}: {error}", start.listen))?;
+    let listen_at = async |at| bind(at, clock).await.map_err(|error| format!("listening on {at}: {error}"));
+    let listener = listen_at(start.listen).await?;
+    let operators = match start.console {
+        Some(at) => Some(listen_at(at).await?),
+        None => None,
+    };
     let (tray, calls) = Tray::new();
     let (ask_list, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
     let pool = Rc::new(runners::Pool {
@@ -103,13 +109,14 @@
     };
     // A second: places are taken for as long as jobs run, and those take about one.
     let come_back_s = start.terms.max_come_back_s.min(1.0);
-    let (close, closing) = watch::channel(false);
     let door = Rc::new(Door {
         tray: tray.clone(),
         categories: start.categories,
         expiries: start.expiries,
-        closing,
+        closing: watch::Sender::new(false),
         ending: Cell::new(false),
+        drained: Cell::new(false),
+        drains: Cell::new(0),
         listed: has_list.clone(),
         come_back_s,
         most: rest - to_runners - more,
@@ -157,6 +164,9 @@
     spawn_local(watch.keep());
     spawn_local(reload(hup, start.page, list_at));
     spawn_local(clients::listen(listener, door.clone()));
+    if let Some(listener) = operators {
+        spawn_local(console::listen(listener, Rc::new(console::Console::new(door.clone()))));
+    }
     spawn_local(exchange.run(calls));
     tokio::select! {
         _ = term.recv() => {}
@@ -174,7 +184,7 @@
     while clock.now() < last_call && (clock.now() < told + COMING_S || door.open.get() > 0) {
         sleep(Duration::from_millis(10)).await;
     }
-    let _ = close.send(true);
+    door.closing.send_replace(true);
     while clock.now() < told + COMING_S || door.busy.get() > 0 && clock.now() < end_at + 0.2 {
         sleep(Duration::from_millis(10)).await;
     }
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -16,6 +16,7 @@
     limits: Option<Limits>,
     known: Option<Value>,
     learnt: Option<PathBuf>,
+    console: Option<String>,
     settings: Value,
 }
 
@@ -28,6 +29,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub list_at: SocketAddr,
+    /// Where the operators' door is, if there is one.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     pub descriptors: usize,
     pub known: Told,
@@ -148,6 +151,10 @@
         name: page.name.unwrap_or_else(|| "sagetrail".to_string()),
         listen: address(page.listen, "RELAY_LISTEN", "listen")?,
         list_at: address(page.discovery, "RELAY_DISCOVERY", "discovery")?,
+        console: match page.console.is_some() || std::env::var_os("RELAY_CONSOLE").is_some() {
+            true => Some(address(page.console, "RELAY_CONSOLE", "console")?),
+            false => None,
+        },
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed '{seed}' is not a number"))?,
         descriptors: page.limits.and_then(|limits| limits.sockets).unwrap_or(1024),
         known,
--- /dev/null
+++ b/crates/sagetrail/tests/operators/mod.rs
@@ -0,0 +1,121 @@
+//! Stories of the operators' door and what is done through it.
+use crate::stage::*;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// The program with a door, and where that is.
+fn with_door(runners: usize) -> (Stage, SocketAddr) {
+    let door = free();
+    (Stage::of(runners, 1024, |page| door_in(page, door)), door)
+}
+
+fn door_in(page: String, door: SocketAddr) -> String {
+    page.replacen('{', &format!(r#"{{"console":"{door}","#), 1)
+}
+
+/// One call; its answer within the second that a caller waits.
+fn call(door: SocketAddr, line: &str) -> Message {
+    let mut stream = TcpStream::connect(door).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    stream.write_all(format!("{line} HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n").as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    let answer = read(&mut reader).expect("an answer in time");
+    assert_eq!(reader.read(&mut [0]).unwrap(), 0, "one call to a connection");
+    answer
+}
+
+fn ready(stage: &Stage) -> u16 {
+    stage.client().send("GET /health/ready HTTP/1.1\r\n\r\n").answer().status()
+}
+
+#[test]
+fn the_door_answers_while_callers_sit_on_their_connections() {
+    let (stage, door) = with_door(1);
+    let start = Instant::now();
+    let silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(door).unwrap()).collect();
+    (&silent[39]).write_all(b"GET /healthcheck HT").unwrap();
+    assert_eq!(call(door, "GET /healthcheck").status(), 200);
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    let lines = ["GET /nothing", "POST /healthcheck", "GET /healthcheck/fail", "BAD\u{1} /healthcheck"];
+    assert_eq!(lines.map(|line| call(door, line).status()), [404, 405, 405, 400]);
+    // A call that is never whole ends with a word, if nobody has needed its place before.
+    let half = TcpStream::connect(door).unwrap();
+    (&half).write_all(b"GET /healthcheck HT").unwrap();
+    half.set_read_timeout(Some(LONG)).unwrap();
+    assert_eq!(read(&mut BufReader::new(half)).unwrap().status(), 408);
+    drop(stage);
+}
+
+#[test]
+fn a_door_that_cannot_be_opened_ends_the_start_with_one_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for at in ["nowhere".to_string(), taken.local_addr().unwrap().to_string()] {
+        let page = page(free(), free(), 1024, &[]).replacen('{', &format!(r#"{{"console":"{at}","#), 1);
+        let (code, log) = ended(&mut launch(&file(), &page));
+        assert_eq!((code, log.lines().count()), (Some(1), 1), "{log}");
+        assert!(log.contains(&at), "{log}");
+    }
+}
+
+#[test]
+fn a_drain_sends_clients_away_and_keeps_what_they_are_owed() {
+    let (stage, door) = with_door(1);
+    let (mut busy, mut idle) = (stage.client(), stage.client());
+    for client in [&mut busy, &mut idle] {
+        let id = client.hand_in("rerun", "4000m");
+        stage.runners[0].next().take();
+        stage.news(&id, "s-0", r#""done","result":"a""#);
+        assert_eq!(client.answer().status(), 200);
+    }
+    let mut news = stage.client();
+    let tell = |news: &mut Client, id: &str| {
+        let body = format!(r#"{{"id":"{id}","from":"s-0","state":"done","result":"b"}}"#);
+        news.send(&format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        let answer = news.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (204, None), "a runner is no client");
+    };
+    tell(&mut news, "unknown");
+    let id = busy.hand_in("once", "4000m");
+    stage.runners[0].next().take();
+    let start = Instant::now();
+    // A word said twice is one word, and a quick change of mind does no harm.
+    for word in ["fail", "fail", "ok", "ok", "fail"] {
+        assert_eq!(call(door, &format!("POST /healthcheck/{word}")).status(), 200);
+    }
+    assert_eq!(ready(&stage), 503);
+    pause(200);
+    assert_eq!(idle.send("GET /health/live HTTP/1.1\r\n\r\n").answer().header("connection"), None);
+    assert!(start.elapsed() < Duration::from_millis(450), "the front has not looked yet");
+    assert!(idle.read().is_none(), "let go");
+    assert!((400..1500).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+    tell(&mut news, &id);
+    let answer = busy.answer();
+    assert_eq!((answer.body.as_str(), answer.header("connection")), ("b", Some("close")));
+    // Who comes all the same is served and sent away.
+    let mut late = stage.client();
+    let id = late.hand_in("rerun", "4000m");
+    stage.runners[0].next().take();
+    tell(&mut news, &id);
+    assert_eq!(late.answer().header("connection"), Some("close"));
+    assert_eq!(call(door, "POST /healthcheck/ok").status(), 200);
+    assert_eq!(ready(&stage), 200);
+    let mut again = stage.client();
+    assert_eq!(again.send("GET /health/live HTTP/1.1\r\n\r\n").answer().header("connection"), None);
+}
+
+#[test]
+fn told_to_end_while_drained_it_settles_what_it_has() {
+    let (mut stage, door) = with_door(1);
+    let mut client = stage.client();
+    let id = client.hand_in("once", "4000m");
+    stage.runners[0].next().take();
+    call(door, "POST /healthcheck/fail");
+    stage.term();
+    pause(100);
+    call(door, "POST /healthcheck/ok");
+    assert_eq!(ready(&stage), 503, "the end stays the end");
+    stage.news(&id, "s-0", r#""done","result":"a""#);
+    assert_eq!(client.answer().status(), 200);
+    assert_eq!(stage.ended().0, Some(0));
+}
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -1,4 +1,5 @@
 //! Stories of the program on its sockets.
+mod operators;
 mod stage;
 use stage::*;
 use std::net::TcpStream;
