--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -317,6 +317,14 @@
     }
 }
 
+impl Dispatcher {
+    /// A runner that gets nothing now, whatever its room: it drains, rests, or could not be reached just now.
+    pub fn avoids(&self, r: usize, now: f64) -> bool {
+        let runner = self.runners.get(r);
+        runner.is_none_or(|runner| !runner.at.ready || runner.resting.is_some() || now < runner.left_until)
+    }
+}
+
 /// What still means the same after a planned restart.
 impl Dispatcher {
     /// A category's usual time, where one was measured.
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' side, and the runners' call-backs, which come to the same address.
 use crate::exchange::{number, Order, Tray, Word};
+use crate::figures::{Figures, Open};
 use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
 use futures_util::{SinkExt, Stream};
 use sagetrail_policy::Job;
@@ -37,6 +38,7 @@
 pub struct Door {
     pub tray: Tray,
     pub categories: Vec<String>,
+    pub figures: Rc<Figures>,
     pub expiries: Vec<f64>,
     /// The dispatcher has been told to end.
     pub ending: Cell<bool>,
@@ -171,26 +173,29 @@
             Some(request) => Some(Ok(request)),
             None => request(&mut wire, fresh.take(), news, door).await,
         };
-        let (mut reply, keep) = match read {
+        let (mut reply, open, keep) = match read {
             None => return Ok(()),
             Some(Ok(request)) => {
                 let _busy = Counted::new(&door.busy);
                 let keep = request.keep;
                 news = request.target == NEWS;
                 let bare = request.method == Method::Head;
-                let Some(reply) = answer(request, &mut wire, &mut ahead, door).await else { return Ok(()) };
-                (Reply { bare, ..reply }, keep)
+                let Some((reply, open)) = answer(request, &mut wire, &mut ahead, door).await else {
+                    return Ok(());
+                };
+                (Reply { bare, ..reply }, open, keep)
             }
             Some(Err(fault)) => {
                 let Some(status) = fault.status() else { return Err(fault) };
-                (Reply::new(status, format!("{fault}\n")), false)
+                (Reply::new(status, format!("{fault}\n")), None, false)
             }
         };
         let busy = Counted::new(&door.busy);
         reply.close = !keep || door.lets_go(news) || door.open.get() > door.most;
-        let close = reply.close;
+        let (close, status) = (reply.close, reply.status);
         let sent = timeout(Duration::from_secs_f64(SLOW_S), wire.send(reply)).await;
         sent.map_err(|_| Fault::Unfinished)??;
+        open.into_iter().for_each(|open| open.answered(status));
         drop(busy);
         if close {
             return linger(wire).await;
@@ -261,13 +266,13 @@
     Ok(())
 }
 
-/// The answer to a request; `None` if its client has gone.
+/// The answer to a request, and the work item that it ends; `None` if its client has gone.
 async fn answer(
     request: Request, wire: &mut Wire, ahead: &mut Option<Request>, door: &Door,
-) -> Option<Reply> {
+) -> Option<(Reply, Option<Open>)> {
     let path = request.target.split('?').next().unwrap_or_default();
     let looks = matches!(request.method, Method::Get | Method::Head);
-    Some(match path {
+    let reply = match path {
         "/health/ready" if looks && door.ending.get() => Reply::new(503, "ending\n"),
         "/health/ready" if looks && door.drained.get() => Reply::new(503, "drained by hand\n"),
         "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
@@ -281,14 +286,22 @@
         },
         "/health/ready" | "/health/live" | NEWS => Reply::new(405, "not with this method\n"),
         _ if request.method != Method::Post => Reply::new(405, "jobs come by POST\n"),
-        _ if door.crowded() => {
-            Reply { come_back_s: door.come_back_s, ..Reply::new(503, "too many connections\n") }
-        }
         _ => match job(&request, door) {
-            Ok((job, wait_s)) => return work(request, job, wait_s, wire, ahead, door).await,
+            Ok((job, wait_s)) => {
+                let open = Open::new(&door.figures, job.category);
+                let reply = match door.crowded() {
+                    true => {
+                        let come_back_s = door.come_back_s;
+                        Reply { come_back_s, ..Reply::new(503, "too many connections\n") }
+                    }
+                    false => work(request, job, wait_s, wire, ahead, door).await?,
+                };
+                return Some((reply, Some(open)));
+            }
             Err((status, why)) => Reply::new(status, format!("{why}\n")),
         },
-    })
+    };
+    Some((reply, None))
 }
 
 /// A number and a unit: milliseconds or microseconds.
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -98,11 +98,17 @@
             Some(()) => Reply::new(200, "ok\n"),
             None => Reply::new(503, "it decides nothing\n"),
         },
+        "/stats" if looks => match door.tray.ask(|exchange| exchange.listed_and_avoided()).await {
+            Some((listed, avoided)) => Reply::new(200, door.figures.lines(listed, avoided)),
+            None => Reply::new(503, "the list cannot be asked\n"),
+        },
         "/healthcheck/fail" | "/healthcheck/ok" if says => {
             door.drain(path == "/healthcheck/fail");
             Reply::new(200, "ok\n")
         }
-        "/healthcheck" | "/healthcheck/fail" | "/healthcheck/ok" => Reply::new(405, "not with this method\n"),
+        "/healthcheck" | "/stats" | "/healthcheck/fail" | "/healthcheck/ok" => {
+            Reply::new(405, "not with this method\n")
+        }
         _ => Reply::new(404, "no such call\n"),
     }
 }
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -633,12 +633,25 @@
                 entries.push(entry);
             }
         }
+        if news == News::Whole {
+            self.desk.runners.iter().for_each(|runner| runner.listed.set(false));
+        }
+        for (place, listed) in &entries {
+            self.desk.runners[*place].listed.set(listed.is_some());
+        }
         self.desk.has_list.set(news != News::Cached || !entries.is_empty());
         self.dispatcher.listed(self.desk.now, news, &entries);
         self.bury(&entries);
         self.carry(&entries)
     }
 
+    /// How many runners the list names, and how many of them the decisions avoid now.
+    pub fn listed_and_avoided(&self) -> (usize, usize) {
+        let listed = || (0..self.desk.runners.len()).filter(|&r| self.desk.runners[r].listed.get());
+        let now = self.desk.clock.now();
+        (listed().count(), listed().filter(|&r| self.dispatcher.avoids(r, now)).count())
+    }
+
     // ---- what outlives a planned restart ----
 
     pub fn learnt(&self, terms: &[u64]) -> Learnt {
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -2,6 +2,7 @@
 mod clients;
 mod console;
 mod exchange;
+mod figures;
 mod http;
 mod learnt;
 mod list;
@@ -91,8 +92,10 @@
     };
     let (tray, calls) = Tray::new();
     let (ask_list, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
+    let figures = figures::Figures::new(&start.categories);
     let pool = Rc::new(runners::Pool {
         clock,
+        figures: figures.clone(),
         permits: Arc::new(Semaphore::new(to_runners)),
         dial_s: start.dial_s,
         idle_s: 0.5 * start.runner_idle_s,
@@ -112,6 +115,7 @@
     let door = Rc::new(Door {
         tray: tray.clone(),
         categories: start.categories,
+        figures,
         expiries: start.expiries,
         closing: watch::Sender::new(false),
         ending: Cell::new(false),
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -1,5 +1,6 @@
 //! The runners' side: connections, and one errand at a time on each.
 use crate::exchange::{Clock, Exchange, Tray};
+use crate::figures::Figures;
 use crate::http::{next, wire, Answer, Calling, Outgoing};
 use futures_util::SinkExt;
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,8 @@
     pub address: Cell<SocketAddr>,
     /// From when on no hand-off may begin: it drains or is gone.
     pub shut_at: Cell<f64>,
+    /// The list names it now.
+    pub listed: Cell<bool>,
     /// When its process started, by the list.
     pub started: Cell<f64>,
     idle: RefCell<Vec<oneshot::Sender<Errand>>>,
@@ -46,6 +49,7 @@
             name,
             address: Cell::new(address),
             shut_at: Cell::new(f64::INFINITY),
+            listed: Cell::new(true),
             started: Cell::new(started),
             idle: RefCell::default(),
         })
@@ -60,6 +64,7 @@
 /// What all connections to runners share.
 pub struct Pool {
     pub clock: Clock,
+    pub figures: Rc<Figures>,
     pub permits: Arc<Semaphore>,
     pub dial_s: f64,
     pub idle_s: f64,
@@ -135,9 +140,10 @@
     }
 
     /// Writes the message and waits for the answer; true if the connection can carry another.
-    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, clock: &Clock, rested: bool) -> bool {
-        let now = clock.now();
+    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, pool: &Pool, rested: bool) -> bool {
+        let now = pool.clock.now();
         let mut message = self.message.clone();
+        let hands_off = matches!(message, Outgoing::Work { .. });
         if let Outgoing::Work { wait_s, .. } = &mut message {
             // Guards against a runner told to drain while its connection was coming up.
             if now >= runner.shut_at.get() {
@@ -150,6 +156,9 @@
         let exchanged = async {
             wire.send(message).await.map_err(|_| Broken::Unreached)?;
             whole.set(true);
+            if hands_off {
+                pool.figures.relays();
+            }
             match next(wire).await {
                 Some(Ok(answer)) => Ok(answer),
                 _ if rested => {
@@ -165,7 +174,7 @@
             ended = exchanged => ended,
             () = async { tokio::select! {
                 () = stopped(&mut self.stop) => {}
-                () = clock.sleep_until(self.until) => {}
+                () = pool.clock.sleep_until(self.until) => {}
             }} => {
                 // Guards against a machine that vanished: its other connections stand open and silent too,
                 // and only a new one tells.
@@ -242,7 +251,7 @@
 ) {
     let address = runner.address.get();
     let mut rested = false;
-    while errand.carry(&mut wire, &runner, &pool.clock, rested).await && address == runner.address.get() {
+    while errand.carry(&mut wire, &runner, &pool, rested).await && address == runner.address.get() {
         drop(errand);
         rested = true;
         let (idle, mut rest) = oneshot::channel();
--- a/crates/sagetrail/tests/operators/mod.rs
+++ b/crates/sagetrail/tests/operators/mod.rs
@@ -119,3 +119,64 @@
     assert_eq!(client.answer().status(), 200);
     assert_eq!(stage.ended().0, Some(0));
 }
+
+/// A figure as it is read at the door.
+fn figure(door: SocketAddr, name: &str) -> u64 {
+    let text = call(door, "GET /stats").body;
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("edge_relay.{name}:")));
+    let line = line.unwrap_or_else(|| panic!("{name} in {text}"));
+    line.split('|').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn the_figures_agree_with_what_clients_and_runners_saw() {
+    let (stage, door) = with_door(2);
+    let lines = call(door, "GET /stats").body;
+    assert_eq!(
+        lines.lines().filter(|line| line.ends_with(":0|c")).count(),
+        7,
+        "from the first read on: {lines}"
+    );
+    let mut seen = 0;
+    let mut hand_in = |client: &mut Client, category, end: Option<&str>| {
+        let id = client.hand_in(category, "6000m");
+        let (handed, from) = match stage.runners[0].poll(300) {
+            Some(handed) => (handed, "s-0"),
+            None => (stage.runners[1].next(), "s-1"),
+        };
+        seen += 1;
+        handed.take();
+        end.iter().for_each(|end| assert_eq!(stage.news(&id, from, end), 204));
+    };
+    let done = Some(r#""done","result":"a""#);
+    let mut clients: Vec<Client> = (0..5).map(|_| stage.client()).collect();
+    for client in &mut clients[..3] {
+        hand_in(client, "rerun", done);
+        assert_eq!(client.answer().status(), 200);
+    }
+    hand_in(&mut clients[3], "once", Some(r#""failed""#));
+    assert_eq!(clients[3].answer().status(), 502);
+    hand_in(&mut clients[4], "once", None);
+    assert_eq!(figure(door, "open_requests"), 1);
+    // Who goes away is no longer in hand; what is no job was never taken.
+    clients.pop();
+    clients[0].send("POST /nothing HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(clients[0].answer().status(), 404);
+    pause(100);
+    assert_eq!(figure(door, "open_requests"), 0);
+    assert_eq!(figure(door, "registry_entries"), 2);
+    let drains = [stage.runners[0].entry("Ready", 0), stage.runners[1].entry("Terminating", 0)];
+    let watch = stage.list.watch();
+    watch.tell(42, true, &drains);
+    pause(150);
+    assert_eq!((figure(door, "registry_entries"), figure(door, "out_of_rotation")), (2, 1));
+    watch.tell(43, true, &[]);
+    pause(150);
+    assert_eq!((figure(door, "registry_entries"), figure(door, "out_of_rotation")), (0, 0));
+    let mut client = stage.client();
+    client.hand_in("once", "4000m");
+    assert_eq!(client.answer().status(), 503);
+    let ends = ["rerun.fulfilled", "once.fulfilled", "rerun.throttled", "once.throttled", "once.faulted"];
+    assert_eq!(ends.map(|end| figure(door, &format!("operations.{end}"))), [3, 0, 0, 1, 1]);
+    assert_eq!(figure(door, "relayed"), seen);
+}
