Runners out by hand: a flag beside the list's word, cold when put back

Need: the calls to take a runner out answered 404.

Change: by_hand in the module, ready() and born() where it may be used and how cold it is; the shutter at the connections.

Stories: whole lists, drains, going and returning under a ban; cold after it unless the list told of the start; not one byte on sockets, ids percent-encoded, unknown ids 404.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -199,9 +199,8 @@
             self.runners.iter_mut().for_each(|r| r.at.ready = false);
         }
         for &(index, listed) in entries {
-            while self.runners.len() <= index {
-                self.runners.push(Runner::new());
-            }
+            let known = self.runners.len().max(index + 1);
+            self.runners.resize_with(known, Runner::new);
             let runner = &mut self.runners[index];
             match listed {
                 None => runner.at.ready = false,
@@ -219,10 +218,26 @@
                 }
             }
         }
-        self.choose();
         if self.terms.asks_for_list && news != News::Cached {
             (self.next_ask, self.ask_again_s) = (f64::INFINITY, self.terms.ask_spread_s());
         }
+        self.choose_anew(now);
+    }
+
+    /// Operators take a runner out, or put it back: restarted meanwhile, perhaps, and the list may be late.
+    pub fn by_hand(&mut self, now: f64, r: usize, out: bool) {
+        match (self.runners[r].out, out) {
+            (None, true) => self.runners[r].out = Some(now),
+            (Some(since), false) => self.runners[r].put_back(since, now),
+            _ => return,
+        }
+        self.share(r);
+        self.choose_anew(now);
+    }
+
+    /// Other runners may be used than before: what is held finds its places among them.
+    fn choose_anew(&mut self, now: f64) {
+        self.choose();
         self.next_look = now;
         (0..self.held.len()).for_each(|place| self.find_home(self.held[place], now));
     }
@@ -233,7 +248,7 @@
         let most = if self.terms.probes { usize::MAX } else { MOST };
         let (runners, categories) = (&self.runners, &self.terms.categories);
         let needed = |r: usize| categories.iter().find_map(|c| c.kind.filter(|k| *k == runners[r].at.kind));
-        let mut ready: Vec<usize> = (0..runners.len()).filter(|&r| runners[r].at.ready).collect();
+        let mut ready: Vec<usize> = (0..runners.len()).filter(|&r| runners[r].ready()).collect();
         ready.sort_unstable_by_key(|&r| (needed(r), !runners[r].rank, r));
         let alike = ready.chunk_by(|&a, &b| needed(a) == needed(b));
         self.chosen = alike.flat_map(|kind| kind.iter().take(most)).copied().collect();
@@ -302,7 +317,7 @@
         let (waited, at) = runner.wait;
         match () {
             () if waited > PROMPT_S && now < at + REMEMBERED * waited => waited,
-            () if now < runner.at.born + self.terms.cold_s => -self.waits.quantile(0.5).unwrap_or(0.0),
+            () if now < runner.born() + self.terms.cold_s => -self.waits.quantile(0.5).unwrap_or(0.0),
             () => 0.0,
         }
     }
@@ -487,7 +502,7 @@
     fn busy_holder(&self, w: u32) -> bool {
         let work = &self.works[w as usize];
         let shunned = |r: &Runner| r.resting.is_some() || r.shunned(work.job.category, self.last_pass);
-        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.at.ready && !shunned(r));
+        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.ready() && !shunned(r));
         work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
     }
 
@@ -515,7 +530,7 @@
         let work = &mut self.works[w as usize];
         runner.load(&work.job, 1.0);
         runner.cold_left -= size;
-        if now < runner.at.born + self.terms.cold_s {
+        if now < runner.born() + self.terms.cold_s {
             runner.cold_sent.retain(|(at, _)| now < at + self.terms.fall_s);
             runner.cold_sent.push_back((now, size));
         }
@@ -538,14 +553,8 @@
 
     fn has_room(&self, r: usize, now: f64) -> bool {
         let runner = &self.runners[r];
-        if !runner.at.ready
-            || runner.cold_left <= self.fetch_s
-            || now < runner.left_until
-            || !runner.tried(now)
-        {
-            return false;
-        }
-        runner.room >= 1.0 || runner.mine <= 0.0 && !self.terms.probes
+        let able = runner.ready() && runner.cold_left > self.fetch_s && now >= runner.left_until;
+        able && runner.tried(now) && (runner.room >= 1.0 || runner.mine <= 0.0 && !self.terms.probes)
     }
 
     fn fits(&self, w: u32, r: usize, now: f64) -> bool {
@@ -566,7 +575,7 @@
     /// A runner that a work item might use, whatever its room.
     fn usable(&self, w: u32, r: usize, now: f64) -> bool {
         let (work, runner) = (&self.works[w as usize], &self.runners[r]);
-        runner.at.ready
+        runner.ready()
             && self.of_kind(w, r)
             && (work.avoid.0 != r || now >= work.avoid.1)
             && !runner.shunned(work.job.category, now)
@@ -580,7 +589,7 @@
     /// it, whatever became of it, stays under this dispatcher's part of what the rule allows in any span.
     fn cold_left(&self, r: usize, now: f64) -> f64 {
         let (runner, t) = (&self.runners[r], &self.terms);
-        let age = now - runner.at.born;
+        let age = now - runner.born();
         if age >= t.cold_s {
             return f64::INFINITY;
         }
@@ -610,11 +619,10 @@
     fn size_up(&mut self, kind: u8, now: f64) {
         let like = || self.chosen.iter().map(|&r| &self.runners[r]).filter(|r| r.at.kind == kind);
         let most = like().map(|r| r.most.max(r.slots)).fold(CAP_START, f64::max);
-        let warm = like().filter(|r| now > r.at.born + self.terms.cold_s);
+        let warm = like().filter(|r| now > r.born() + self.terms.cold_s);
         // One of many sees too little of a runner: what all together have running on a warm one, if all are
         // as busy as this one; 2.5 times what was seen at the most, in case they are not.
-        let grown =
-            self.chosen.iter().filter(|&&r| now > self.runners[r].at.born + self.terms.cold_s).count();
+        let grown = self.chosen.iter().filter(|&&r| now > self.runners[r].born() + self.terms.cold_s).count();
         let all = self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown.max(1) as f64;
         let most = if self.terms.replicas > FEW { most.max(all.min(2.5 * most)) } else { most };
         let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
@@ -685,7 +693,7 @@
     /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then
     /// gets a trial, and another after each rest. At most half rest at once: beyond, it is not their trouble.
     fn weigh(&mut self, r: usize, now: f64, sign: f64) {
-        let ready = || self.runners.iter().filter(|x| x.at.ready);
+        let ready = || self.runners.iter().filter(|x| x.ready());
         let crowd = 2 * (ready().filter(|x| x.resting.is_some()).count() + 1) > ready().count();
         let runner = &mut self.runners[r];
         runner.evidence = (runner.evidence + sign).clamp(0.0, 6.0);
@@ -753,7 +761,7 @@
         work.ended = true;
         if in_time && (again || work.ran.is_none()) {
             let backlog: f64 = self.held.iter().map(|&h| self.expected(&self.works[h as usize].job)).sum();
-            let ready = self.runners.iter().filter(|r| r.at.ready).count().max(1) as f64;
+            let ready = self.runners.iter().filter(|r| r.ready()).count().max(1) as f64;
             host.defer(Wi(w), (0.2 + backlog / ready).min(self.terms.max_come_back_s));
         } else {
             host.write_off(Wi(w));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -94,6 +94,9 @@
 
 pub struct Runner {
     pub at: Listed,
+    /// Out by hand, and since when; and when it was put back with no start told since.
+    pub out: Option<f64>,
+    pub back: f64,
     pub mine: f64,
     /// Room left, in the present pass.
     pub room: f64,
@@ -146,6 +149,8 @@
     pub fn new() -> Self {
         Runner {
             at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
+            out: None,
+            back: f64::NEG_INFINITY,
             mine: 0.0,
             room: 0.0,
             cold_left: 0.0,
@@ -183,7 +188,28 @@
     pub fn restart(&mut self) {
         let old = std::mem::replace(self, Runner::new());
         (self.mine, self.memory, self.rank, self.probed) = (old.mine, old.memory, old.rank, old.probed);
-        (self.cold_sent, self.running) = (old.cold_sent, old.running);
+        (self.cold_sent, self.running, self.out) = (old.cold_sent, old.running, old.out);
+    }
+
+    /// The list names it as ready, and no operator has taken it out.
+    pub fn ready(&self) -> bool {
+        self.at.ready && self.out.is_none()
+    }
+
+    /// When it started, as far as is known.
+    pub fn born(&self) -> f64 {
+        self.at.born.max(self.back)
+    }
+
+    /// After a ban nothing of before holds. Guards against a process of whose start the list has not told: it
+    /// counts as cold from now on.
+    pub fn put_back(&mut self, since: f64, now: f64) {
+        let at = self.at;
+        self.restart();
+        (self.at, self.out) = (at, None);
+        if at.born < since {
+            self.back = now;
+        }
     }
 }
 
@@ -321,7 +347,7 @@
     /// A runner that gets nothing now, whatever its room: it drains, rests, or could not be reached just now.
     pub fn avoids(&self, r: usize, now: f64) -> bool {
         let runner = self.runners.get(r);
-        runner.is_none_or(|runner| !runner.at.ready || runner.resting.is_some() || now < runner.left_until)
+        runner.is_none_or(|runner| !runner.ready() || runner.resting.is_some() || now < runner.left_until)
     }
 }
 
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -597,3 +597,52 @@
     host.come(&mut d, lost, 0, Outcome::Cancelled);
     assert_eq!(host.sent_to(lost).len(), 2);
 }
+
+#[test]
+fn a_runner_out_by_hand_gets_nothing_whatever_the_list_says() {
+    let (mut d, mut host) = start(terms(), 2);
+    let first: Vec<Wi> = (0..2).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
+    let home = host.sent_to(first[0])[0];
+    let waits = host.take(&mut d, RERUNNABLE, 42);
+    assert!(host.sent_to(waits).is_empty(), "for its busy holder");
+    d.by_hand(host.now, home, true);
+    d.decide(&mut host);
+    assert_eq!(host.sent_to(waits), [1 - home], "at once, the holder is of no use");
+    // The whole list names it; it drains, goes, and comes back as a new process.
+    let named = |ready, born| Some(Listed { ready, born, ..runner(home as u64) });
+    let (other, old) = ((1 - home, Some(runner(1 - home as u64))), f64::NEG_INFINITY);
+    for entry in [named(true, old), named(false, old), None, named(true, host.now)] {
+        d.listed(host.now, News::Whole, &[(home, entry), other]);
+        d.by_hand(host.now, home, true);
+        host.pass(&mut d, 1.0);
+        host.asked.clear();
+        let wi = host.take(&mut d, RERUNNABLE, 42);
+        assert_eq!(host.sent_to(wi), [1 - home]);
+        host.come(&mut d, wi, 0, Outcome::Finished);
+        assert!(d.avoids(home, host.now));
+    }
+    // A single call back ends it.
+    first.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Reset));
+    d.by_hand(host.now, home, false);
+    assert!(!d.avoids(home, host.now), "what its end did to work is no sign against the new process");
+}
+
+#[test]
+fn a_runner_put_back_is_cold_unless_the_list_has_told_when_it_started() {
+    // Of the last start that the list told, before the ban or in it, and what may be sent at once then.
+    for (born, sent) in [(None, 1), (Some(90.0), 1), (Some(101.0), 2)] {
+        let (mut d, mut host) = start(Terms { cold_s: 2.0, fall_s: 0.5, ..terms() }, 1);
+        let tell = |d: &mut Dispatcher, now| {
+            let born = born.filter(|born| *born < now).unwrap_or(f64::NEG_INFINITY);
+            d.listed(now, News::Whole, &[(0, Some(Listed { born, ..runner(0) }))]);
+        };
+        tell(&mut d, 100.0);
+        d.carry_usual(RERUNNABLE, 0.3);
+        d.by_hand(100.5, 0, true);
+        host.now = 105.0;
+        tell(&mut d, 105.0);
+        d.by_hand(105.0, 0, false);
+        let all: Vec<Wi> = (0..2).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+        assert_eq!(all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count(), sent, "{born:?}");
+    }
+}
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -2,6 +2,7 @@
 use crate::clients::{linger, Door, Wire};
 use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
 use futures_util::SinkExt;
+use percent_encoding::percent_decode_str;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -85,6 +86,17 @@
     linger(wire).await
 }
 
+/// The runner that a path is about, and whether it is to be out.
+fn runner(path: &str) -> Option<(String, bool)> {
+    let (id, what) = path.strip_prefix("/runners/")?.split_once('/')?;
+    let id = percent_decode_str(id).decode_utf8().ok()?.into_owned();
+    match what {
+        "maint" => Some((id, true)),
+        "ready" => Some((id, false)),
+        _ => None,
+    }
+}
+
 async fn answer(request: Request, console: &Console) -> Reply {
     let Console { door, .. } = console;
     let path = request.target.split('?').next().unwrap_or_default();
@@ -109,6 +121,14 @@
         "/healthcheck" | "/stats" | "/healthcheck/fail" | "/healthcheck/ok" => {
             Reply::new(405, "not with this method\n")
         }
-        _ => Reply::new(404, "no such call\n"),
+        _ => match runner(path) {
+            Some(_) if !says => Reply::new(405, "not with this method\n"),
+            Some((id, out)) => match door.tray.ask(move |exchange| exchange.by_hand(&id, out)).await {
+                Some(true) => Reply::new(200, "ok\n"),
+                Some(false) => Reply::new(404, "no list ever named this runner\n"),
+                None => Reply::new(503, "it decides nothing\n"),
+            },
+            None => Reply::new(404, "no such call\n"),
+        },
     }
 }
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -645,6 +645,19 @@
         self.carry(&entries)
     }
 
+    /// Operators take a runner out, whatever the list says, or put it back; false for one never listed.
+    pub fn by_hand(&mut self, id: &str, out: bool) -> bool {
+        let Some(&place) = self.desk.places.get(id) else { return false };
+        let runner = &self.desk.runners[place];
+        if runner.out.replace(out) != out {
+            runner.drop_idle();
+            let what = if out { "taken out" } else { "put back" };
+            log::info!("{} ({}) {what} by hand", runner.name, runner.address.get());
+        }
+        self.dispatcher.by_hand(self.desk.now, place, out);
+        true
+    }
+
     /// How many runners the list names, and how many of them the decisions avoid now.
     pub fn listed_and_avoided(&self) -> (usize, usize) {
         let listed = || (0..self.desk.runners.len()).filter(|&r| self.desk.runners[r].listed.get());
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -36,6 +36,8 @@
     pub address: Cell<SocketAddr>,
     /// From when on no hand-off may begin: it drains or is gone.
     pub shut_at: Cell<f64>,
+    /// Operators have taken it out.
+    pub out: Cell<bool>,
     /// The list names it now.
     pub listed: Cell<bool>,
     /// When its process started, by the list.
@@ -49,6 +51,7 @@
             name,
             address: Cell::new(address),
             shut_at: Cell::new(f64::INFINITY),
+            out: Cell::new(false),
             listed: Cell::new(true),
             started: Cell::new(started),
             idle: RefCell::default(),
@@ -145,6 +148,11 @@
         let mut message = self.message.clone();
         let hands_off = matches!(message, Outgoing::Work { .. });
         if let Outgoing::Work { wait_s, .. } = &mut message {
+            // Guards against a runner taken out by hand while its connection was coming up.
+            if runner.out.get() {
+                self.ending.tell(Err(Broken::Unsent));
+                return false;
+            }
             // Guards against a runner told to drain while its connection was coming up.
             if now >= runner.shut_at.get() {
                 self.ending.tell(Err(Broken::Unreached));
--- a/crates/sagetrail/tests/operators/mod.rs
+++ b/crates/sagetrail/tests/operators/mod.rs
@@ -180,3 +180,45 @@
     assert_eq!(ends.map(|end| figure(door, &format!("operations.{end}"))), [3, 0, 0, 1, 1]);
     assert_eq!(figure(door, "relayed"), seen);
 }
+
+#[test]
+fn a_runner_taken_out_by_hand_gets_not_one_byte_until_it_is_put_back() {
+    let (stage, door) = with_door(2);
+    let watch = stage.list.watch();
+    let name = |call: &str| format!("POST /runners/{call}");
+    for unknown in ["s-9/maint", "s-9/ready", "s-0/else", "s-%ff/maint", "/maint"] {
+        assert_eq!(call(door, &name(unknown)).status(), 404, "{unknown}");
+    }
+    assert_eq!(call(door, "GET /runners/s-0/maint").status(), 405);
+    // A kept connection to each.
+    let serve = |only: Option<usize>| {
+        let mut client = stage.client();
+        let id = client.hand_in("rerun", "6000m");
+        let first = only.unwrap_or(0);
+        let (handed, from) = match stage.runners[first].poll(300) {
+            Some(handed) => (handed, first),
+            None => (stage.runners[1 - first].next(), 1 - first),
+        };
+        handed.take();
+        stage.news(&id, &stage.runners[from].name, r#""done","result":"a""#);
+        assert_eq!(client.answer().status(), 200);
+        from
+    };
+    let out = serve(None);
+    let ban = stage.runners[out].name.replace('-', "%2D");
+    assert_eq!(call(door, &name(&format!("{ban}/maint"))).status(), 200);
+    let listed = |started| [0, 1].map(|r| stage.runners[r].entry("Ready", started));
+    for generation in 42..45 {
+        watch.tell(generation, true, &listed(0));
+        assert_eq!(call(door, &name(&format!("{ban}/maint"))).status(), 200, "it may be repeated");
+        pause(60);
+        for _ in 0..3 {
+            assert_eq!(serve(Some(1 - out)), 1 - out);
+        }
+        assert_eq!(figure(door, "out_of_rotation"), 1);
+    }
+    stage.runners[out].nothing(50);
+    assert_eq!(call(door, &name(&format!("{ban}/ready"))).status(), 200);
+    assert_eq!(figure(door, "out_of_rotation"), 0);
+    assert_eq!(serve(Some(out)), out, "its keys come back");
+}
