--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,4 +8,5 @@
 
 pub use policy::{Dispatcher, Wi};
 pub use reading::{read_terms, Stated};
+pub use state::Kept;
 pub use terms::*;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -236,7 +236,7 @@
     }
 
     /// Other runners may be used than before: what is held finds its places among them.
-    fn choose_anew(&mut self, now: f64) {
+    pub(crate) fn choose_anew(&mut self, now: f64) {
         self.choose();
         self.next_look = now;
         (0..self.held.len()).for_each(|place| self.find_home(self.held[place], now));
@@ -256,7 +256,7 @@
     }
 
     /// How many dispatchers rank before this one at a runner, by the hash.
-    fn share(&mut self, r: usize) {
+    pub(crate) fn share(&mut self, r: usize) {
         let (me, replicas, runner) = (self.terms.me, self.terms.replicas, &mut self.runners[r]);
         let before = |peer: &usize| *peer != me && draw(*peer as u64, runner.at.id) > runner.rank;
         runner.ahead = (0..replicas).filter(before).count();
@@ -602,7 +602,7 @@
         let largest = self.usual.iter().copied().fold(0.0, f64::max) + self.fetch_s;
         let heads = ((whole / largest) as usize).clamp(1, t.replicas);
         let part = if heads == t.replicas { whole / heads as f64 } else { largest.min(whole) };
-        let mine = if runner.ahead < heads { part } else { 0.0 };
+        let mine = if runner.ahead < heads && !self.leaves_cold { part } else { 0.0 };
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -248,6 +248,8 @@
     pub(crate) waits: Ring<f64, 8>,
     pub(crate) wait_s: f64,
     pub(crate) waited_at: f64,
+    /// Another process of this dispatcher has its part of the cold runners.
+    pub(crate) leaves_cold: bool,
     pub(crate) next_ask: f64,
     pub(crate) ask_again_s: f64,
     pub(crate) wake_at: f64,
@@ -287,6 +289,7 @@
             waits: Ring::default(),
             wait_s: 0.0,
             waited_at: f64::NEG_INFINITY,
+            leaves_cold: false,
             next_ask,
             ask_again_s,
             wake_at: f64::INFINITY,
@@ -351,6 +354,52 @@
     }
 }
 
+/// What a process that takes over must know of a runner: a ban, a return, what was sent while it was cold, and a
+/// verdict.
+#[derive(Clone, Debug)]
+pub struct Kept {
+    pub out: Option<f64>,
+    pub back: Option<f64>,
+    pub spent: Vec<(f64, f64)>,
+    pub evidence: f64,
+    pub resting: Option<f64>,
+    pub rest_s: f64,
+}
+
+/// Upgrades: two processes that are one dispatcher to the rules.
+impl Dispatcher {
+    pub fn leave_cold(&mut self, leave: bool) {
+        self.leaves_cold = leave;
+        self.changed = true;
+    }
+
+    pub fn kept(&self, r: usize) -> Kept {
+        let runner = &self.runners[r];
+        Kept {
+            out: runner.out,
+            back: Some(runner.back).filter(|back| back.is_finite()),
+            spent: runner.cold_sent.iter().copied().collect(),
+            evidence: runner.evidence,
+            resting: runner.resting,
+            rest_s: runner.rest_s,
+        }
+    }
+
+    /// Takes up what the process before kept, once its list has been told. The list itself is asked soon: one
+    /// upgrade is no wave of starts.
+    pub fn inherit(&mut self, now: f64, kept: Vec<(usize, Kept)>) {
+        for (r, kept) in kept {
+            let runner = &mut self.runners[r];
+            (runner.out, runner.back) = (kept.out, kept.back.unwrap_or(f64::NEG_INFINITY));
+            (runner.evidence, runner.resting, runner.rest_s) = (kept.evidence, kept.resting, kept.rest_s);
+            runner.cold_sent = kept.spent.into();
+            self.share(r);
+        }
+        self.next_ask = self.next_ask.min(now + 0.5 * self.pcg.chance());
+        self.choose_anew(now);
+    }
+}
+
 /// What still means the same after a planned restart.
 impl Dispatcher {
     /// A category's usual time, where one was measured.
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -646,3 +646,32 @@
         assert_eq!(all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count(), sent, "{born:?}");
     }
 }
+
+#[test]
+fn two_processes_of_one_dispatcher_have_one_part_of_a_cold_runner() {
+    let both = || {
+        let (mut d, host) = start(terms(), 1);
+        d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 90.0, ..runner(0) }))]);
+        d.carry_usual(RERUNNABLE, 0.4);
+        (d, host)
+    };
+    let sent = |d: &mut Dispatcher, host: &mut Fake| {
+        let all: Vec<Wi> = (0..3).map(|_| host.take(d, RERUNNABLE, 0)).collect();
+        all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count()
+    };
+    // It bears 1.8 s of work in this second, and the cap is two.
+    let (mut old, mut host) = both();
+    assert_eq!(sent(&mut old, &mut host), 2);
+    let kept = old.kept(0);
+    for (spent, may) in [(kept.spent.clone(), 2), (vec![(100.0, 0.8), (100.0, 0.8)], 0)] {
+        let (mut new, mut host) = both();
+        new.inherit(100.0, vec![(0, Kept { spent, ..kept.clone() })]);
+        assert_eq!(sent(&mut new, &mut host), may);
+    }
+    let (mut old, mut host) = both();
+    old.leave_cold(true);
+    assert_eq!(sent(&mut old, &mut host), 0, "the new one has its part");
+    old.leave_cold(false);
+    old.decide(&mut host);
+    assert_eq!(host.asked.len(), 2, "the new one has died");
+}
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side, and the runners' call-backs, which come to the same address.
 use crate::exchange::{number, Order, Tray, Word};
 use crate::figures::{Figures, Open};
+use crate::handover::{Ask, Handover, Heard};
 use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
 use futures_util::{SinkExt, Stream};
 use sagetrail_policy::Job;
@@ -39,14 +40,20 @@
     pub tray: Tray,
     pub categories: Vec<String>,
     pub figures: Rc<Figures>,
+    /// The other process at this address, during an upgrade.
+    pub handover: Handover,
     pub expiries: Vec<f64>,
     /// The dispatcher has been told to end.
     pub ending: Cell<bool>,
+    /// A newer process serves here: clients go there with their next answer.
+    pub parting: Cell<bool>,
     /// The operators empty it; and which time that was.
     pub drained: Cell<bool>,
     pub drains: Cell<u64>,
     /// It lets its connections go.
     pub closing: watch::Sender<bool>,
+    /// It lets clients in.
+    pub lets_in: Cell<bool>,
     /// There has been a list, be it an old one.
     pub listed: Rc<Cell<bool>>,
     /// When to come back, for who is turned away at the door; 0 where that is not passed on.
@@ -75,7 +82,7 @@
     }
 
     fn lets_go(&self, news: bool) -> bool {
-        *self.closing.borrow() && self.sends_away(news)
+        (self.parting.get() || *self.closing.borrow()) && self.sends_away(news)
     }
 
     /// There is no place for one more work item: all connections are busy.
@@ -273,15 +280,12 @@
     let path = request.target.split('?').next().unwrap_or_default();
     let looks = matches!(request.method, Method::Get | Method::Head);
     let reply = match path {
-        "/health/ready" if looks && door.ending.get() => Reply::new(503, "ending\n"),
+        "/health/ready" if looks && door.ending.get() && !door.parting.get() => Reply::new(503, "ending\n"),
         "/health/ready" if looks && door.drained.get() => Reply::new(503, "drained by hand\n"),
         "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
         "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
         NEWS if request.method == Method::Post => match serde_json::from_slice::<Word>(&request.body) {
-            Ok(word) => {
-                door.tray.call(move |exchange| exchange.word(word)).await;
-                Reply::new(204, "")
-            }
+            Ok(word) => news(word, door).await,
             Err(error) => Reply::new(400, format!("{error}\n")),
         },
         "/health/ready" | "/health/live" | NEWS => Reply::new(405, "not with this method\n"),
@@ -304,6 +308,22 @@
     Some((reply, None))
 }
 
+/// What a runner tells. Guards against news that come to the other process at this address: they go to the one
+/// that holds the work item, and the runner tells again what that did not hear.
+async fn news(word: Word, door: &Door) -> Reply {
+    if !door.handover.linked() {
+        door.tray.call(move |exchange| _ = exchange.word(word)).await;
+        return Reply::new(204, "");
+    }
+    let again = word.clone();
+    if door.tray.ask(move |exchange| exchange.word(word)).await != Some(true)
+        && door.handover.tell(Ask::News(again)).await == Heard::Silent
+    {
+        return Reply::new(503, "not heard\n");
+    }
+    Reply::new(204, "")
+}
+
 /// A number and a unit: milliseconds or microseconds.
 fn seconds(text: &str) -> Option<f64> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -1,5 +1,6 @@
 //! The operators' door: a second address, one call to a connection.
 use crate::clients::{linger, Door, Wire};
+use crate::handover::{Ask, Heard};
 use crate::http::{next, wire, Fault, Method, Reply, Request, Serving};
 use futures_util::SinkExt;
 use percent_encoding::percent_decode_str;
@@ -86,6 +87,15 @@
     linger(wire).await
 }
 
+/// The answer once the other process has heard it too, if there is one.
+async fn both(known: bool, ask: Ask, door: &Door) -> Reply {
+    match door.handover.tell(ask).await {
+        Heard::Silent => Reply::new(503, "the other process does not answer\n"),
+        heard if known || heard == Heard::Yes => Reply::new(200, "ok\n"),
+        _ => Reply::new(404, "no list ever named this runner\n"),
+    }
+}
+
 /// The runner that a path is about, and whether it is to be out.
 fn runner(path: &str) -> Option<(String, bool)> {
     let (id, what) = path.strip_prefix("/runners/")?.split_once('/')?;
@@ -104,7 +114,7 @@
     let says = request.method == Method::Post;
     match path {
         "/healthcheck" if looks && door.ending.get() => Reply::new(503, "ending\n"),
-        "/healthcheck" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
+        "/healthcheck" if looks && !(door.lets_in.get() && door.listed.get()) => Reply::new(503, "not yet\n"),
         // Asked of the exchange itself: guards against a yes from a process whose decisions stand still.
         "/healthcheck" if looks => match door.tray.ask(|_| ()).await {
             Some(()) => Reply::new(200, "ok\n"),
@@ -115,19 +125,22 @@
             None => Reply::new(503, "the list cannot be asked\n"),
         },
         "/healthcheck/fail" | "/healthcheck/ok" if says => {
-            door.drain(path == "/healthcheck/fail");
-            Reply::new(200, "ok\n")
+            let on = path == "/healthcheck/fail";
+            door.drain(on);
+            both(true, Ask::Drain(on), door).await
         }
         "/healthcheck" | "/stats" | "/healthcheck/fail" | "/healthcheck/ok" => {
             Reply::new(405, "not with this method\n")
         }
         _ => match runner(path) {
             Some(_) if !says => Reply::new(405, "not with this method\n"),
-            Some((id, out)) => match door.tray.ask(move |exchange| exchange.by_hand(&id, out)).await {
-                Some(true) => Reply::new(200, "ok\n"),
-                Some(false) => Reply::new(404, "no list ever named this runner\n"),
-                None => Reply::new(503, "it decides nothing\n"),
-            },
+            Some((id, out)) => {
+                let ask = Ask::ByHand { id: id.clone(), out };
+                match door.tray.ask(move |exchange| exchange.by_hand(&id, out)).await {
+                    Some(known) => both(known, ask, door).await,
+                    None => Reply::new(503, "it decides nothing\n"),
+                }
+            }
             None => Reply::new(404, "no such call\n"),
         },
     }
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -1,15 +1,17 @@
 //! Where clients and runners meet: one task owns the decisions, turns what happens into calls on them, and
 //! carries out what they ask.
+use crate::handover::{Inherited, State as Former};
 use crate::http::{Answer, Outgoing, Reply};
 use crate::learnt::{Known, Learnt, Usual};
 use crate::list::{Life, Member, Told};
 use crate::runners::{self, Broken, Errand, Pool, Runner};
 use bytes::Bytes;
-use sagetrail_policy::{Dispatcher, Host, Job, Listed, News, Outcome, Wi};
-use serde::Deserialize;
+use sagetrail_policy::{Dispatcher, Host, Job, Kept, Listed, News, Outcome, Wi};
+use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::pending;
+use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -113,7 +115,7 @@
 }
 
 /// What a runner tells of a job.
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, Serialize, Clone, Debug)]
 pub struct Word {
     pub id: String,
     pub from: String,
@@ -121,7 +123,7 @@
     pub state: State,
 }
 
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, Serialize, Clone, Debug)]
 #[serde(tag = "state", rename_all = "lowercase")]
 pub enum State {
     Started,
@@ -192,6 +194,8 @@
     has_list: Rc<Cell<bool>>,
     drain_s: f64,
     runners: Vec<Rc<Runner>>,
+    /// What the list last said of each.
+    members: Vec<Member>,
     places: HashMap<String, usize>,
     taken: Vec<Option<Taken>>,
     ids: HashMap<Rc<str>, Wi>,
@@ -358,6 +362,7 @@
             has_list,
             drain_s,
             runners: Vec::new(),
+            members: Vec::new(),
             places: HashMap::new(),
             taken: Vec::new(),
             ids: HashMap::new(),
@@ -501,10 +506,16 @@
 
     // ---- the runners ----
 
-    /// What a runner tells, if it is about the hand-off that is out there now.
-    pub fn word(&mut self, word: Word) {
+    /// What a runner tells, if it is about the hand-off that is out there now; false if the work item is not in
+    /// hand here.
+    pub fn word(&mut self, word: Word) -> bool {
+        let Some(&wi) = self.desk.ids.get(word.id.as_str()) else { return false };
+        self.word_of(wi, word);
+        true
+    }
+
+    fn word_of(&mut self, wi: Wi, word: Word) {
         let now = self.desk.now;
-        let Some(&wi) = self.desk.ids.get(word.id.as_str()) else { return };
         let Some(serial) = self.desk.taken(wi).map(|taken| taken.serial) else { return };
         let Some(out) = self.desk.taken(wi).and_then(|taken| taken.out.as_ref()) else { return };
         // Guards against news of an earlier hand-off: from another runner, or before this one was written.
@@ -690,6 +701,50 @@
         usuals.map(|(n, seconds)| self.dispatcher.carry_usual(n, seconds)).count()
     }
 
+    // ---- upgrades ----
+
+    /// What a new process must know that serves at the same address from now on. Cold runners are left to it:
+    /// the two together have one part of them.
+    pub fn hand_over(&mut self, terms: &[u64]) -> (Learnt, Vec<Inherited>) {
+        self.dispatcher.leave_cold(true);
+        let unix = |at: f64| at + self.desk.clock.unix;
+        let inherits = |(place, member): (usize, &Member)| {
+            let Kept { out, back, spent, evidence, resting, rest_s } = self.dispatcher.kept(place);
+            let (out, back, resting) = (out.map(unix), back.map(unix), resting.map(unix));
+            let spent = spent.into_iter().map(|(at, size)| (unix(at), size)).collect();
+            Inherited { member: member.clone(), out, back, spent, evidence, resting, rest_s }
+        };
+        (self.learnt(terms), self.desk.members.iter().enumerate().map(inherits).collect())
+    }
+
+    /// The new process has ended before its time.
+    pub fn hand_over_failed(&mut self) {
+        self.dispatcher.leave_cold(false);
+    }
+
+    /// Takes up what the process before had.
+    pub fn inherit(&mut self, state: Former, deployment: u64, terms: &[u64]) {
+        if state.deployment == deployment {
+            self.take_up(state.learnt, terms);
+        }
+        // Also those that are gone: whoever was listed once is known at the operators' door.
+        for Inherited { member, .. } in &state.runners {
+            member.address.map(|address| self.desk.enlist(member, address));
+        }
+        let members: Vec<Member> = state.runners.iter().map(|inherited| inherited.member.clone()).collect();
+        self.known(Told { whole: true, members, ..Told::default() });
+        let here = |at: f64| at - self.desk.clock.unix;
+        let mut kept = Vec::new();
+        for Inherited { member, out, back, spent, evidence, resting, rest_s } in state.runners {
+            let Some(&place) = self.desk.places.get(&member.id) else { continue };
+            self.desk.runners[place].out.set(out.is_some());
+            let (out, back, resting) = (out.map(here), back.map(here), resting.map(here));
+            let spent = spent.into_iter().map(|(at, size)| (here(at), size)).collect();
+            kept.push((place, Kept { out, back, spent, evidence, resting, rest_s }));
+        }
+        self.dispatcher.inherit(self.desk.now, kept);
+    }
+
     /// Only for the same process at the same address; a runner that started since is cold and unknown.
     fn carry(&mut self, entries: &[(usize, Option<Listed>)]) -> usize {
         let mut carried = 0;
@@ -724,18 +779,26 @@
 }
 
 impl Desk {
+    /// A place for a runner that is named for the first time.
+    fn enlist(&mut self, member: &Member, address: SocketAddr) -> usize {
+        self.places.insert(member.id.clone(), self.runners.len());
+        self.members.push(member.clone());
+        self.runners.push(Runner::new(member.id.clone(), address, member.started));
+        *self.pool.runners.borrow_mut() = self.runners.clone();
+        self.runners.len() - 1
+    }
+
     fn entry(&mut self, member: Member, shut_at: f64) -> Option<(usize, Option<Listed>)> {
         let place = match self.places.get(&member.id) {
             Some(&place) => place,
             None => {
                 // One that is gone before it was ever named is nobody.
                 let address = member.address.filter(|_| member.life != Life::Gone)?;
-                self.places.insert(member.id.clone(), self.runners.len());
-                self.runners.push(Runner::new(member.id.clone(), address, member.started));
-                *self.pool.runners.borrow_mut() = self.runners.clone();
-                self.runners.len() - 1
+                self.enlist(&member, address)
             }
         };
+        let address = member.address.or(self.members[place].address);
+        self.members[place] = Member { address, ..member.clone() };
         let runner = &self.runners[place];
         let moved = member.address.is_some_and(|address| runner.address.replace(address) != address);
         if moved || runner.started.replace(member.started) != member.started {
--- a/crates/sagetrail/src/list.rs
+++ b/crates/sagetrail/src/list.rs
@@ -4,7 +4,7 @@
 use crate::http::{next, wire, AskList, Fault, Watching};
 use crate::start::Names;
 use futures_util::SinkExt;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::cell::Cell;
 use std::future::{pending, Future};
@@ -21,14 +21,14 @@
 const SILENT_S: f64 = 4.5;
 const DIAL_S: f64 = 1.0;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Life {
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Member {
     pub id: String,
     /// Not always told of one that is gone.
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -3,6 +3,7 @@
 mod console;
 mod exchange;
 mod figures;
+mod handover;
 mod http;
 mod learnt;
 mod list;
@@ -12,6 +13,7 @@
 
 use clients::Door;
 use exchange::{Clock, Exchange, Parts, Tray};
+use handover::{Handover, Meeting};
 use sagetrail_policy::Dispatcher;
 use serde_json::Value;
 use start::Start;
@@ -72,20 +74,41 @@
     }
 }
 
-async fn serve(mut start: Start) -> Result<(), String> {
+/// Lets clients in; where the platform holds their socket, not before this process can serve: until then they
+/// are the former one's.
+async fn let_in(
+    listener: TcpListener, door: Rc<Door>, meeting: Option<Rc<Meeting>>, deployment: u64, terms: Rc<Vec<u64>>,
+) {
+    if let Some(meeting) = meeting {
+        while !door.listed.get() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        spawn_local(meeting.keep(door.clone(), deployment, terms));
+    }
+    door.lets_in.set(true);
+    clients::listen(listener, door).await
+}
+
+async fn serve(mut start: Start, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     let clock = Clock::start();
     // First of all: until someone listens to them, these end the process on the spot.
     let listen_to = |kind| signal(kind).map_err(|error| error.to_string());
     let (hup, mut term) = (listen_to(SignalKind::hangup())?, listen_to(SignalKind::terminate())?);
     let mut int = listen_to(SignalKind::interrupt())?;
     let spare = SPARE + start.console.map_or(0, |_| console::DESCRIPTORS);
-    let rest = start.descriptors.saturating_sub(spare);
+    // Guards against two processes over one limit during an upgrade: neither ever holds more than half.
+    let descriptors = if inherited.is_some() { start.descriptors / 2 } else { start.descriptors };
+    let rest = descriptors.saturating_sub(spare);
     if rest < FEWEST {
-        return Err(format!("{} sockets are too few, {} at least", start.descriptors, spare + FEWEST));
+        return Err(format!("{descriptors} sockets are too few, {} at least", spare + FEWEST));
     }
     let (to_runners, more) = (rest / 4, rest / 16);
     let listen_at = async |at| bind(at, clock).await.map_err(|error| format!("listening on {at}: {error}"));
-    let listener = listen_at(start.listen).await?;
+    let meeting = inherited.as_ref().map(|_| Rc::new(Meeting::new(start.listen)));
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(|error| error.to_string())?,
+        None => listen_at(start.listen).await?,
+    };
     let operators = match start.console {
         Some(at) => Some(listen_at(at).await?),
         None => None,
@@ -116,8 +139,11 @@
         tray: tray.clone(),
         categories: start.categories,
         figures,
+        handover: Handover::default(),
         expiries: start.expiries,
         closing: watch::Sender::new(false),
+        parting: Cell::new(false),
+        lets_in: Cell::new(false),
         ending: Cell::new(false),
         drained: Cell::new(false),
         drains: Cell::new(0),
@@ -135,7 +161,7 @@
         log::warn!("the page allows probes, this protocol has none: nobody is probed");
     }
     let terms = door.categories.iter().zip(&start.terms.categories).map(|(name, c)| learnt::terms(name, c));
-    let (terms, deployment): (Vec<u64>, u64) = (terms.collect(), start.deployment);
+    let (terms, deployment) = (Rc::new(terms.collect::<Vec<u64>>()), start.deployment);
     let longest = door.expiries.iter().copied().fold(0.0, f64::max);
     let parts = Parts {
         clock,
@@ -151,7 +177,16 @@
     };
     let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
     let mut exchange = Exchange::new(dispatcher, parts);
-    if let Some(path) = &start.learnt {
+    let former = match &meeting {
+        Some(meeting) => meeting.find().await,
+        None => None,
+    };
+    if let Some((state, former)) = former {
+        door.drain(state.drained);
+        exchange.inherit(state, deployment, &terms);
+        start.known = Default::default();
+        spawn_local(former.keep(door.clone()));
+    } else if let Some(path) = &start.learnt {
         match learnt::read(path, deployment) {
             Ok(learnt) => {
                 let categories = exchange.take_up(learnt, &terms);
@@ -167,7 +202,7 @@
     log::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
     spawn_local(reload(hup, start.page, list_at));
-    spawn_local(clients::listen(listener, door.clone()));
+    let lets_in = spawn_local(let_in(listener, door.clone(), meeting.clone(), deployment, terms.clone()));
     if let Some(listener) = operators {
         spawn_local(console::listen(listener, Rc::new(console::Console::new(door.clone()))));
     }
@@ -182,9 +217,14 @@
     // The kill comes no sooner than the longest expiry, 3 s at most, and 0.7 s more.
     let end_at = told + longest.min(3.0) + 0.4;
     tray.call(move |exchange| exchange.end_by(end_at)).await;
+    // A newer process lets clients in at the same socket, which stays open and keeps its queue.
+    door.parting.set(door.handover.succeeded());
+    if door.parting.get() {
+        lets_in.abort();
+    }
     // Guards against turning away whom nobody else serves: clients go on with the connections that they have
     // as long as these stay open. Who has others to go to is sent there while nearly any job still ends here.
-    let last_call = if alone { end_at - LAST_S } else { end_at - MOVE_S };
+    let last_call = if alone && !door.parting.get() { end_at - LAST_S } else { end_at - MOVE_S };
     while clock.now() < last_call && (clock.now() < told + COMING_S || door.open.get() > 0) {
         sleep(Duration::from_millis(10)).await;
     }
@@ -203,6 +243,7 @@
             None => log::warn!("what was learnt is not kept"),
         }
     }
+    meeting.into_iter().for_each(|meeting| meeting.leave());
     log::info!("ends with {} unanswered", door.busy.get());
     // For the last bytes, and for runners that are told to give a job up.
     sleep(Duration::from_millis(50)).await;
@@ -210,10 +251,12 @@
 }
 
 fn run() -> Result<(), String> {
+    // Before anything opens a descriptor that might be taken for it.
+    let inherited = handover::inherited()?;
     let start = start::open()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| error.to_string())?;
-    LocalSet::new().block_on(&runtime, serve(start))
+    LocalSet::new().block_on(&runtime, serve(start, inherited))
 }
 
 fn main() -> ExitCode {
--- a/crates/sagetrail/tests/operators/mod.rs
+++ b/crates/sagetrail/tests/operators/mod.rs
@@ -70,9 +70,7 @@
     }
     let mut news = stage.client();
     let tell = |news: &mut Client, id: &str| {
-        let body = format!(r#"{{"id":"{id}","from":"s-0","state":"done","result":"b"}}"#);
-        news.send(&format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-        let answer = news.answer();
+        let answer = news.tell(id, "s-0", r#""done","result":"b""#);
         assert_eq!((answer.status(), answer.header("connection")), (204, None), "a runner is no client");
     };
     tell(&mut news, "unknown");
@@ -222,3 +220,124 @@
     assert_eq!(figure(door, "out_of_rotation"), 0);
     assert_eq!(serve(Some(out)), out, "its keys come back");
 }
+
+const DONE: &str = r#""done","result":"a""#;
+
+#[test]
+fn an_upgrade_loses_no_work_whichever_process_its_news_reach() {
+    let mut platform = Platform::start(2, 256);
+    // Two upgrades in a row: the second takes over from one that took over itself.
+    for _ in 0..2 {
+        let mut old = platform.client();
+        let mut runner = platform.client();
+        assert_eq!(runner.tell("unknown", "s-0", DONE).status(), 204);
+        let first = old.hand_in("once", "6000m");
+        let from = |platform: &Platform| match platform.runners[0].poll(300) {
+            Some(handed) => (handed.take(), "s-0").1,
+            None => (platform.runners[1].next().take(), "s-1").1,
+        };
+        let first_at = from(&platform);
+        let idle = platform.client();
+        platform.upgrade();
+        platform.term();
+        pause(50);
+        // New clients come to the new process, the old one's stay; each one's news come to the other.
+        let mut new = platform.client();
+        let second = new.hand_in("once", "6000m");
+        let second_at = from(&platform);
+        assert_eq!(runner.tell(&second, second_at, DONE).header("connection"), Some("close"));
+        assert_eq!(new.answer().status(), 200);
+        assert_eq!(platform.client().tell(&first, first_at, DONE).status(), 204);
+        let answer = old.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        drop(idle);
+        let (code, log) = platform.ended();
+        assert_eq!(code, Some(0), "{log}");
+        assert!(log.contains("a new process takes over") && log.contains("ends with 0 unanswered"), "{log}");
+    }
+}
+
+#[test]
+fn what_operators_said_holds_over_an_upgrade_and_binds_both_processes() {
+    let mut platform = Platform::start(2, 256);
+    let old = platform.children[0].1;
+    platform.list.watch().tell(42, false, &[entry("s-1", free(), "Gone", 0)]);
+    assert_eq!(call(old, "POST /runners/s-0/maint").status(), 200);
+    assert_eq!(call(old, "POST /healthcheck/fail").status(), 200);
+    let new = platform.upgrade();
+    let ready =
+        |platform: &Platform| platform.client().send("GET /health/ready HTTP/1.1\r\n\r\n").answer().status();
+    // Either process may answer.
+    assert!((0..8).all(|_| ready(&platform) == 503));
+    assert_eq!(call(new, "POST /runners/s-1/maint").status(), 200, "gone, but listed once");
+    assert_eq!(call(new, "POST /runners/s-9/maint").status(), 404);
+    assert_eq!(call(old, "POST /healthcheck/ok").status(), 200);
+    assert!((0..8).all(|_| ready(&platform) == 200));
+    platform.term();
+    platform.ended();
+    assert_eq!(figure(new, "out_of_rotation"), 1);
+    let mut client = platform.client();
+    client.hand_in("rerun", "1000m");
+    assert_eq!(client.answer().status(), 503);
+    platform.runners[0].nothing(50);
+    assert_eq!(call(new, "POST /runners/s-0/ready").status(), 200);
+    let id = client.hand_in("rerun", "4000m");
+    platform.runners[0].next().take();
+    platform.client().tell(&id, "s-0", DONE);
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn a_new_process_that_dies_leaves_the_old_one_as_it_was() {
+    let mut platform = Platform::start(1, 256);
+    for _ in 0..2 {
+        platform.upgrade();
+        let (mut new, _) = platform.children.remove(1);
+        new.kill().unwrap();
+        new.wait().unwrap();
+        pause(50);
+        let mut client = platform.client();
+        let id = client.hand_in("once", "6000m");
+        platform.runners[0].next().take();
+        assert_eq!(platform.client().tell(&id, "s-0", DONE).status(), 204);
+        assert_eq!(client.answer().status(), 200);
+    }
+    // Who comes next finds it all the same; who comes after a kill starts afresh.
+    platform.upgrade();
+    platform.term();
+    let (code, log) = platform.ended();
+    assert_eq!((code, log.matches("the new process has ended").count()), (Some(0), 2), "{log}");
+    assert_eq!(log.matches("a new process takes over").count(), 3, "{log}");
+    platform.children[0].0.kill().unwrap();
+    platform.ended();
+    platform.upgrade();
+    platform.children[0].0.kill().unwrap();
+    assert!(platform.ended().1.contains("starts afresh"));
+}
+
+#[test]
+fn two_processes_stay_under_one_limit_of_descriptors() {
+    let mut platform = Platform::start(1, 128);
+    let mut clients: Vec<Client> = (0..100).map(|_| platform.client()).collect();
+    platform.upgrade();
+    clients.extend((0..100).map(|_| platform.client()));
+    pause(700);
+    let held = |(child, _): &(std::process::Child, SocketAddr)| {
+        std::fs::read_dir(format!("/proc/{}/fd", child.id())).unwrap().count()
+    };
+    let held: Vec<usize> = platform.children.iter().map(held).collect();
+    assert!(held.iter().sum::<usize>() <= 128 && held.iter().all(|&held| held > 20), "{held:?}");
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_start_with_one_line() {
+    use std::os::fd::AsRawFd;
+    let connected = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let file_of = std::fs::File::open("/dev/null").unwrap();
+    let page = page(free(), free(), 256, &[]);
+    for fd in [None, Some(connected.as_raw_fd()), Some(file_of.as_raw_fd())] {
+        let (code, log) = ended(&mut launch_with(fd, &page, &std::env::temp_dir()));
+        assert_eq!((code, log.lines().count()), (Some(1), 1), "{log}");
+        assert!(log.contains("RELAY_FD '3'"), "{log}");
+    }
+}
--- a/crates/sagetrail/tests/stage/mod.rs
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -6,6 +6,8 @@
 };
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -204,6 +206,19 @@
 static IDS: AtomicU32 = AtomicU32::new(1);
 
 impl Client {
+    pub fn to(at: SocketAddr) -> Client {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Client { stream, reader }
+    }
+    /// A runner's call-back, on this connection; the answer.
+    pub fn tell(&mut self, id: &str, from: &str, state: &str) -> Message {
+        let body = format!(r#"{{"id":"{id}","from":"{from}","state":{state}}}"#);
+        self.send(&format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        self.answer()
+    }
     pub fn send(&mut self, text: &str) -> &mut Self {
         self.stream.write_all(text.as_bytes()).unwrap();
         self
@@ -323,11 +338,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.at).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        stream.set_nodelay(true).unwrap();
-        let reader = BufReader::new(stream.try_clone().unwrap());
-        Client { stream, reader }
+        Client::to(self.at)
     }
 
     /// A runner's call-back; the status it is answered with.
@@ -376,3 +387,94 @@
     child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
     (child.wait().unwrap().code(), log)
 }
+
+/// A platform that holds the clients' socket and starts the program beside itself.
+pub struct Platform {
+    socket: TcpListener,
+    folder: PathBuf,
+    page: String,
+    pub list: List,
+    pub runners: Vec<Runner>,
+    /// The processes that run, oldest first, and their doors.
+    pub children: Vec<(Child, SocketAddr)>,
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        for (child, _) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The program with a descriptor 3 as it is given, or none.
+pub fn launch_with(fd: Option<i32>, page: &str, folder: &Path) -> Child {
+    let path = file();
+    std::fs::write(&path, page).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sagetrail"));
+    command.env("RELAY_CONFIG", path).env("RELAY_FD", "3").env("TMPDIR", folder);
+    command.stdout(Stdio::null()).stderr(Stdio::piped());
+    // SAFETY: both calls may be made between fork and exec.
+    unsafe {
+        command.pre_exec(move || {
+            match fd {
+                // On to itself it would keep its mark to be closed.
+                Some(3) => libc::fcntl(3, libc::F_SETFD, 0),
+                Some(fd) => libc::dup2(fd, 3),
+                None => libc::close(3),
+            };
+            Ok(())
+        });
+    }
+    command.spawn().unwrap()
+}
+
+impl Platform {
+    pub fn start(runners: usize, sockets: usize) -> Platform {
+        let runners: Vec<Runner> = (0..runners).map(|n| Runner::start(&format!("s-{n}"))).collect();
+        let (list, socket) = (List::start(), TcpListener::bind("127.0.0.1:0").unwrap());
+        let known: Vec<String> = runners.iter().map(|runner| runner.entry("Ready", 0)).collect();
+        let page = page(socket.local_addr().unwrap(), list.at, sockets, &known);
+        let folder = file().with_extension("tmp");
+        std::fs::create_dir(&folder).unwrap();
+        let mut platform = Platform { socket, folder, page, list, runners, children: Vec::new() };
+        platform.upgrade();
+        platform
+    }
+
+    /// Starts the program once more and waits for its yes; its door.
+    pub fn upgrade(&mut self) -> SocketAddr {
+        let door = free();
+        let page = self.page.replacen('{', &format!(r#"{{"console":"{door}","#), 1);
+        let child = launch_with(Some(self.socket.as_raw_fd()), &page, &self.folder);
+        self.children.push((child, door));
+        let start = Instant::now();
+        while !yes(door) {
+            assert!(start.elapsed() < Duration::from_secs(6), "a yes in time");
+            pause(5);
+        }
+        door
+    }
+
+    pub fn term(&self) {
+        let id = self.children[0].0.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// How the oldest process ended, and what it logged.
+    pub fn ended(&mut self) -> (Option<i32>, String) {
+        ended(&mut self.children.remove(0).0)
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.socket.local_addr().unwrap())
+    }
+}
+
+fn yes(door: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(door) else { return false };
+    stream.write_all(b"GET /healthcheck HTTP/1.1\r\n\r\n").unwrap();
+    read(&mut BufReader::new(stream)).is_some_and(|answer| answer.status() == 200)
+}
