--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -617,21 +617,21 @@
     /// Where nobody reports slots, a cap is only our part of them; the most of ours seen running at once on
     /// one is what they have at the least. 0.75 since slots may outnumber cores.
     fn size_up(&mut self, kind: u8, now: f64) {
-        let like = || self.chosen.iter().map(|&r| &self.runners[r]).filter(|r| r.at.kind == kind);
-        let most = like().map(|r| r.most.max(r.slots)).fold(CAP_START, f64::max);
-        let warm = like().filter(|r| now > r.born() + self.terms.cold_s);
+        let used = || self.chosen.iter().map(|&r| &self.runners[r]);
+        let slots = |r: &Runner| if r.at.kind == kind { r.most.max(r.slots) } else { 0.0 };
+        let most = used().map(slots).fold(CAP_START, f64::max);
+        // Guards against one unwell that is all its kind has warm: by its pace the cold ones get nothing at all.
+        let grown = || used().filter(|r| now > r.born() + self.terms.cold_s);
+        let like = |r: &&Runner| r.at.kind == kind && r.resting.is_none();
+        let few = grown().filter(like).count() < 3;
+        let pace = median(grown().filter(|r| few || like(r)).map(|r| r.pace)).unwrap_or(1.0);
         // One of many sees too little of a runner: what all together have running on a warm one, if all are
         // as busy as this one; 2.5 times what was seen at the most, in case they are not.
-        let grown = self.chosen.iter().filter(|&&r| now > self.runners[r].born() + self.terms.cold_s).count();
-        let all = self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown.max(1) as f64;
+        let all =
+            self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown().count().max(1) as f64;
         let most = if self.terms.replicas > FEW { most.max(all.min(2.5 * most)) } else { most };
-        let capacity = 0.75 * most / median(warm.map(|r| r.pace)).unwrap_or(1.0);
-        for &r in &self.chosen {
-            let runner = &mut self.runners[r];
-            if runner.at.kind == kind {
-                runner.capacity = capacity;
-            }
-        }
+        let of_kind = self.runners.iter_mut().filter(|r| r.at.kind == kind);
+        of_kind.for_each(|r| r.capacity = 0.75 * most / pace);
     }
 
     // ---- what an outcome teaches ----
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -675,3 +675,26 @@
     old.decide(&mut host);
     assert_eq!(host.asked.len(), 2, "the new one has died");
 }
+
+#[test]
+fn one_unwell_runner_that_is_all_its_kind_has_warm_does_not_starve_the_cold_one() {
+    let mut terms = terms();
+    terms.categories[RERUNNABLE].kind = Some(1);
+    let (mut d, mut host) = start(terms, 6);
+    let of_kind = |r: u64, born| (r as usize, Some(Listed { kind: 1, born, ..runner(r) }));
+    d.listed(100.0, News::Changes, &[of_kind(0, f64::NEG_INFINITY)]);
+    // The others do well; the only one of its kind takes ten times as long.
+    for seconds in [0.1, 0.1, 0.1] {
+        let all: Vec<Wi> = (0..5).map(|_| host.take(&mut d, EXCLUSIVE, 0)).collect();
+        host.now += seconds;
+        all.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+    }
+    d.carry_runner(0, 4.0, 10.0);
+    d.carry_usual(RERUNNABLE, 0.2);
+    d.listed(host.now, News::Changes, &[of_kind(9, host.now)]);
+    host.pass(&mut d, 0.2);
+    host.asked.clear();
+    // Four slots likely: 0.7 x 3 x (0.75 x 4 x 0.2) x 1 s = 1.3 s of work, six items of 0.2 s, two by its cap.
+    let all: Vec<Wi> = (0..6).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+    assert!(all.iter().filter(|wi| host.sent_to(**wi) == [9]).count() >= 2, "{:?}", host.asked);
+}
