Stories take addresses that the system gives to nobody else

One run of the tests failed in a story that had nothing to do with the change before it: a runner was handed nothing. The address of the program was a port the system had just given out and could give again to another story's listener before the program took it; the new stories make many more of those. Ports below the system's range are taken now.

--- a/crates/sagetrail/tests/stage/mod.rs
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -292,9 +292,17 @@
     )
 }
 
-/// An address that nothing listens on.
+/// An address that nothing listens on; under the ports that the system gives out, since one of those may go to
+/// another story's listener or connection before the program takes it.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = (std::process::id() * 512 + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        let at = SocketAddr::from(([127, 0, 0, 1], 12_000 + n as u16));
+        if TcpListener::bind(at).is_ok() {
+            return at;
+        }
+    }
 }
 
 impl Stage {
