A new process told to end outlives the one before it: no work lost in a restart mid-upgrade

Logs: old told to end at 12.85 s, new at 13.03 s; the new one, with nothing in hand, ends at 13.84 s, and the old one's log stops there. To the platform both are one dispatcher. At fault: main.rs, the last wait, which looked at this process's own work only. Ruled out: the link (no line of it breaking), the reload (lists change seconds before), SIGTERM alone (the other node loses nothing).

Change: the last wait goes on while the process before is linked, within the same bound.

--- a/crates/sagetrail/src/handover.rs
+++ b/crates/sagetrail/src/handover.rs
@@ -103,6 +103,11 @@
         self.peer.borrow().is_some()
     }
 
+    /// The process before has not ended yet.
+    pub fn preceded(&self) -> bool {
+        self.peer.borrow().as_ref().is_some_and(|peer| !peer.newer)
+    }
+
     /// A newer process serves at the same address.
     pub fn succeeded(&self) -> bool {
         self.peer.borrow().as_ref().is_some_and(|peer| peer.newer)
--- a/crates/sagetrail/src/main.rs
+++ b/crates/sagetrail/src/main.rs
@@ -229,7 +229,10 @@
         sleep(Duration::from_millis(10)).await;
     }
     door.closing.send_replace(true);
-    while clock.now() < told + COMING_S || door.busy.get() > 0 && clock.now() < end_at + 0.2 {
+    // Guards against a restart in the middle of an upgrade: to the platform both are one dispatcher, which has
+    // ended when this process has, and what the one before it still holds is lost.
+    let unsettled = || door.busy.get() > 0 || door.handover.preceded();
+    while clock.now() < told + COMING_S || unsettled() && clock.now() < end_at + 0.2 {
         sleep(Duration::from_millis(10)).await;
     }
     if let Some(path) = &start.learnt {
--- a/crates/sagetrail/tests/operators/mod.rs
+++ b/crates/sagetrail/tests/operators/mod.rs
@@ -341,3 +341,22 @@
         assert!(log.contains("RELAY_FD '3'"), "{log}");
     }
 }
+
+#[test]
+fn a_new_process_told_to_end_outlives_the_one_before_it() {
+    let mut platform = Platform::start(1, 256);
+    let mut client = platform.client();
+    let id = client.hand_in("once", "6000m");
+    platform.runners[0].next().take();
+    platform.upgrade();
+    platform.term();
+    pause(100);
+    let new = platform.children[1].0.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &new]).status().unwrap().success());
+    // Longer than it would stay for work of its own.
+    pause(1800);
+    assert!(platform.children[1].0.try_wait().unwrap().is_none(), "the old one still has work");
+    assert_eq!(platform.client().tell(&id, "s-0", DONE).status(), 204, "and its news come here");
+    assert_eq!(client.answer().status(), 200);
+    assert_eq!((platform.ended().0, platform.ended().0), (Some(0), Some(0)));
+}
