Cold runners taken up again after a failed upgrade wait for what the dead process may have sent

Read, not met: a new process that dies has sent its part to cold runners in the last second, and the old one took them up at once, so two parts could fall into one span of the rule. Now it waits as long as the rule looks back (fall_s). The story fails without it.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -602,7 +602,7 @@
         let largest = self.usual.iter().copied().fold(0.0, f64::max) + self.fetch_s;
         let heads = ((whole / largest) as usize).clamp(1, t.replicas);
         let part = if heads == t.replicas { whole / heads as f64 } else { largest.min(whole) };
-        let mine = if runner.ahead < heads && !self.leaves_cold { part } else { 0.0 };
+        let mine = if runner.ahead < heads && now >= self.leaves_cold { part } else { 0.0 };
         let recent = runner.cold_sent.iter().filter(|(at, _)| *at > now - t.fall_s);
         mine - recent.map(|(_, size)| size).sum::<f64>()
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -248,8 +248,8 @@
     pub(crate) waits: Ring<f64, 8>,
     pub(crate) wait_s: f64,
     pub(crate) waited_at: f64,
-    /// Another process of this dispatcher has its part of the cold runners.
-    pub(crate) leaves_cold: bool,
+    /// Until when another process of this dispatcher has its part of the cold runners.
+    pub(crate) leaves_cold: f64,
     pub(crate) next_ask: f64,
     pub(crate) ask_again_s: f64,
     pub(crate) wake_at: f64,
@@ -289,7 +289,7 @@
             waits: Ring::default(),
             wait_s: 0.0,
             waited_at: f64::NEG_INFINITY,
-            leaves_cold: false,
+            leaves_cold: f64::NEG_INFINITY,
             next_ask,
             ask_again_s,
             wake_at: f64::INFINITY,
@@ -368,9 +368,10 @@
 
 /// Upgrades: two processes that are one dispatcher to the rules.
 impl Dispatcher {
-    pub fn leave_cold(&mut self, leave: bool) {
-        self.leaves_cold = leave;
-        self.changed = true;
+    /// Leaves cold runners to another process, or takes them up again. Guards against what that one sent just
+    /// before it died, which nobody here knows of: it counts for as long as the rule looks back.
+    pub fn leave_cold(&mut self, now: f64, leave: bool) {
+        self.leaves_cold = if leave { f64::INFINITY } else { now + self.terms.fall_s };
     }
 
     pub fn kept(&self, r: usize) -> Kept {
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -669,11 +669,13 @@
         assert_eq!(sent(&mut new, &mut host), may);
     }
     let (mut old, mut host) = both();
-    old.leave_cold(true);
+    old.leave_cold(host.now, true);
     assert_eq!(sent(&mut old, &mut host), 0, "the new one has its part");
-    old.leave_cold(false);
-    old.decide(&mut host);
-    assert_eq!(host.asked.len(), 2, "the new one has died");
+    old.leave_cold(host.now, false);
+    host.pass(&mut old, 0.8);
+    assert_eq!(host.asked.len(), 0, "the new one has died, and may just have sent its part");
+    host.pass(&mut old, 0.4);
+    assert_eq!(host.asked.len(), 2);
 }
 
 #[test]
--- a/crates/sagetrail/src/exchange.rs
+++ b/crates/sagetrail/src/exchange.rs
@@ -706,7 +706,7 @@
     /// What a new process must know that serves at the same address from now on. Cold runners are left to it:
     /// the two together have one part of them.
     pub fn hand_over(&mut self, terms: &[u64]) -> (Learnt, Vec<Inherited>) {
-        self.dispatcher.leave_cold(true);
+        self.dispatcher.leave_cold(self.desk.now, true);
         let unix = |at: f64| at + self.desk.clock.unix;
         let inherits = |(place, member): (usize, &Member)| {
             let Kept { out, back, spent, evidence, resting, rest_s } = self.dispatcher.kept(place);
@@ -719,7 +719,7 @@
 
     /// The new process has ended before its time.
     pub fn hand_over_failed(&mut self) {
-        self.dispatcher.leave_cold(false);
+        self.dispatcher.leave_cold(self.desk.now, false);
     }
 
     /// Takes up what the process before had.
