--- a/crates/sagetrail/src/handover.rs
+++ b/crates/sagetrail/src/handover.rs
@@ -13,10 +13,11 @@
 use std::os::fd::{FromRawFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
@@ -28,6 +29,9 @@
 const STATE_S: f64 = 1.5;
 /// Half of what an operator's call may take, and less than runners wait for a word about their news.
 const ANSWER_S: f64 = 0.5;
+/// So many may be at the meeting place at once: a new process, one that has just died, and one in between. They
+/// are within the program's own descriptors.
+const LINKS: usize = 3;
 /// Each connection has one question out at the most, so this is never full.
 const FRAMES: usize = 1024;
 
@@ -238,13 +242,16 @@
                     return log::warn!("the next process will start afresh: {}: {why}", self.own.display());
                 }
             };
+        let places = Arc::new(Semaphore::new(LINKS));
         loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(Duration::from_millis(50)).await;
                 continue;
             };
             let (meeting, door, terms) = (self.clone(), door.clone(), terms.clone());
             spawn_local(async move {
+                let _place = place;
                 let (mut read, write) = frames(stream);
                 let hello = timeout(Duration::from_secs_f64(STATE_S), receive(&mut read)).await;
                 let Ok(Some(Frame::Hello { version: VERSION })) = hello else { return };
