--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -620,7 +620,7 @@
         let used = || self.chosen.iter().map(|&r| &self.runners[r]);
         let slots = |r: &Runner| if r.at.kind == kind { r.most.max(r.slots) } else { 0.0 };
         let most = used().map(slots).fold(CAP_START, f64::max);
-        // Guards against one unwell that is all its kind has warm: by its pace the cold ones get nothing at all.
+        // Guards against one unwell that is all its kind has warm, by whose pace the cold ones get nothing.
         let grown = || used().filter(|r| now > r.born() + self.terms.cold_s);
         let like = |r: &&Runner| r.at.kind == kind && r.resting.is_none();
         let few = grown().filter(like).count() < 3;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -354,8 +354,8 @@
     }
 }
 
-/// What a process that takes over must know of a runner: a ban, a return, what was sent while it was cold, and a
-/// verdict.
+/// What a process that takes over must know of a runner: a ban, a return, what was sent while it was cold,
+/// and a verdict.
 #[derive(Clone, Debug)]
 pub struct Kept {
     pub out: Option<f64>,
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -117,8 +117,8 @@
     }
 }
 
-/// So long after a drain's begin the front has looked and sends nobody new: it asks every 0.1 s and goes on for
-/// 0.2 s, and as much again for a slow look. Who is sent away sooner comes straight back.
+/// So long after a drain's begin the front has looked and sends nobody new: it asks every 0.1 s and goes on
+/// for 0.2 s, and as much again for a slow look. Who is sent away sooner comes straight back.
 const LOOKED_S: f64 = 0.5;
 
 /// Counts something as long as it lives, also through a panic.
