--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -830,8 +830,7 @@
         let quiet_s = match ho.started {
             // Where others' work is not known, it may wait behind theirs as long as any did lately.
             None if self.terms.probes => QUIET_S + 3.0 * run,
-            None if self.crowd() => QUIET_S + 3.0 * run + self.waits.quantile(0.99).unwrap_or(0.0),
-            None if self.terms.tells_start && !full => QUIET_S,
+            None if self.terms.tells_start && !full => QUIET_S + 2.0 * self.waits.quantile(0.99).unwrap_or(0.0),
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
