--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,6 +29,11 @@
 const REMEMBERED: f64 = 4.0;
 /// A work item's places, where runners must be probed: with three in four slots taken, six all full are rare.
 pub const PLACES: usize = 4;
+/// A work item looks at so many runners, those highest in its key's order: with three in four full, one in a
+/// hundred finds no room, and what a decision costs does not grow with the fleet.
+pub const NEAR: usize = 16;
+/// The orders of so many keys are kept: several times what one dispatcher meets between two lists.
+const ORDERS: usize = 4096;
 /// So many are probed at once: one mostly has room, and each costs.
 const AT_ONCE: usize = 1;
 /// A report is held for true for this part of a usual job: load changes as jobs come and go.
@@ -37,6 +42,8 @@
 const LOOK_S: f64 = 0.1;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
+/// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
+pub const WAITS: usize = 8;
 /// Silence longer than this is a sign: several times what the word of taking or starting a job takes.
 const QUIET_S: f64 = 0.35;
 
@@ -128,34 +135,66 @@
         Some(Wi(id))
     }
 
+    /// The runners that rank highest for a key by a hash that all share; kept until other runners are in use.
+    fn order(&mut self, w: u32) -> Ring<usize, NEAR> {
+        let (key, kind) = (self.works[w as usize].job.key, self.category(w).kind);
+        if let Some(order) = self.orders.get(&(key, kind)) {
+            return order.clone();
+        }
+        let order = self.highest(key, self.chosen.iter().copied().filter(|&r| self.of_kind(w, r)));
+        if self.orders.len() >= ORDERS {
+            self.orders.clear();
+        }
+        self.orders.insert((key, kind), order.clone());
+        order
+    }
+
+    /// Half of them in the own zone where crossing is dearer than a fetch, so that neither zone is alone.
+    fn highest(&self, key: u32, among: impl Iterator<Item = usize>) -> Ring<usize, NEAR> {
+        let all = among.map(|r| (std::cmp::Reverse(self.liking(key, r)), r));
+        let (mut close, mut far): (Vec<_>, Vec<_>) = all.partition(|(liking, _)| liking.0 .0);
+        let mut order = Ring::default();
+        for (all, most) in [(&mut close, NEAR / 2), (&mut far, NEAR)] {
+            let most = most - order.samples().len().min(most);
+            if all.len() > most {
+                all.select_nth_unstable(most);
+                all.truncate(most);
+            }
+            all.sort_unstable();
+            all.iter().for_each(|&(_, r)| order.push(r));
+        }
+        order
+    }
+
     /// Guards against every dispatcher fetching a key to a runner of its own: where the table is thin, all
     /// agree, without a word, on the ready runner where a key belongs (highest hash of both).
     fn find_home(&mut self, w: u32, now: f64) {
         let key = self.works[w as usize].job.key;
-        let left = |r: usize| self.terms.probes && now < self.runners[r].left_until;
-        let fit = |r: &usize| self.of_kind(w, *r) && self.may_go(w, *r, now) && !left(*r);
-        let able = || self.chosen.iter().copied().filter(fit);
+        let order = self.order(w);
+        let left = |d: &Self, r: usize| d.terms.probes && now < d.runners[r].left_until;
+        let fit = |d: &Self, r: usize| d.of_kind(w, r) && d.may_go(w, r, now) && !left(d, r);
+        let mut near = Ring::default();
+        order.samples().iter().filter(|&&r| fit(self, r)).for_each(|&r| near.push(r));
+        // Guards against a cut or a group that takes all of them: others come up in their stead.
+        if near.samples().is_empty() {
+            near = self.highest(key, self.chosen.iter().copied().filter(|&r| fit(self, r)));
+        }
+        let all = near.samples();
         let mut places = Ring::default();
         let home = match self.terms.probes {
             true => {
-                let mut all: Vec<usize> = able().collect();
-                all.sort_unstable_by_key(|&r| std::cmp::Reverse(self.liking(key, r)));
-                let near = |r: &&usize| self.liking(key, **r).0;
-                let (near, far): (Vec<usize>, Vec<usize>) = all.iter().partition(|r| near(r));
-                near.iter().take(PLACES / 2).for_each(|&r| places.push(r));
+                let (close, far): (Vec<usize>, Vec<usize>) =
+                    all.iter().partition(|r| self.liking(key, **r).0);
+                close.iter().take(PLACES / 2).for_each(|&r| places.push(r));
                 far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
                 all.first().copied()
             }
-            false if self.crowd() => {
-                let mut all: Vec<usize> = able().collect();
-                all.sort_unstable_by_key(|&r| std::cmp::Reverse(self.liking(key, r)));
-                self.best_place(w, all, now)
-            }
-            false => able().max_by_key(|&r| self.liking(key, r)),
+            false if self.crowd() => self.best_place(w, all.to_vec(), now),
+            false => all.first().copied(),
         };
         let work = &mut self.works[w as usize];
         work.home = home.filter(|_| key != 0).unwrap_or(usize::MAX);
-        (work.places, work.asked) = (places, 0);
+        (work.near, work.places, work.asked) = (near, places, 0);
     }
 
     /// The place of least cost for a key among runners in its order: its own cost a wait, the others also a
@@ -165,7 +204,7 @@
         let Job { key, .. } = self.works[w as usize].job;
         let asked = self.asked.samples();
         let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
-        let places = (SPREAD * share * all.len() as f64).ceil() as usize;
+        let places = (SPREAD * share * self.chosen.len() as f64).ceil() as usize;
         let own = all.len().min(places);
         all[..own].sort_unstable_by_key(|&r| !self.runners[r].rank);
         let size = self.cold_size(&self.works[w as usize].job);
@@ -186,7 +225,7 @@
         self.changed = true;
         self.find_home(w, now);
         let Work { taken, job, .. } = self.works[w as usize];
-        self.works[w as usize].holders = self.holders(job.key, now);
+        self.works[w as usize].holders = self.holders(w, now);
         let place = self.held.partition_point(|&h| self.works[h as usize].taken <= taken);
         self.held.insert(place, w);
         // Guards against work that arrives, or comes back, with its expiry already upon it.
@@ -253,6 +292,7 @@
         let alike = ready.chunk_by(|&a, &b| needed(a) == needed(b));
         self.chosen = alike.flat_map(|kind| kind.iter().take(most)).copied().collect();
         self.chosen.sort_unstable();
+        self.orders.clear();
     }
 
     /// How many dispatchers rank before this one at a runner, by the hash.
@@ -332,11 +372,18 @@
         self.last_pass = now;
         let mut open = std::mem::take(&mut self.open);
         open.clear();
-        for &r in &self.chosen {
-            self.runners[r].room = self.room(r, now);
-            self.runners[r].cold_left = self.cold_left(r, now);
-            if self.has_room(r, now) {
-                open.push(r);
+        self.passes += 1;
+        for place in 0..self.held.len() {
+            for &r in self.works[self.held[place] as usize].near.samples() {
+                if std::mem::replace(&mut self.runners[r].pass, self.passes) == self.passes {
+                    continue;
+                }
+                self.runners[r].room = self.room(r, now);
+                self.runners[r].cold_left = self.cold_left(r, now);
+                self.runners[r].open = self.has_room(r, now);
+                if self.runners[r].open {
+                    open.push(r);
+                }
             }
         }
         (1..open.len()).rev().for_each(|i| open.swap(i, self.pcg.below(i + 1)));
@@ -488,7 +535,13 @@
             // of the best where dear work cannot ask for a slot.
             let cheap = worth < 0.4 * best && !self.terms.probes;
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
-            let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
+            let there = |r: &&usize| self.runners.get(**r).is_some_and(|r| r.pass == self.passes && r.open);
+            let all = work
+                .holders
+                .samples()
+                .iter()
+                .chain([&work.home].into_iter().filter(|h| !work.holders.samples().contains(h)));
+            let others = open.len() - all.filter(there).filter(|r| self.holds(w, **r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
             let busy = others == open.len() && self.busy_holder(w);
@@ -679,13 +732,13 @@
     /// The same test for one category there, which then leaves the runner for a while. Guards against one
     /// that fails this category alone.
     fn shun(&mut self, r: usize, category: usize, now: f64, sign: f64) {
+        let (evidence, _) = self.runners[r].shun(category);
+        *evidence = (*evidence + sign).min(6.0);
+        let evidence = *evidence;
         let gone =
             |r: &&usize| self.runners[**r].shunned(category, now) || self.runners[**r].resting.is_some();
-        let crowd = 2 * (self.chosen.iter().filter(gone).count() + 1) > self.chosen.len();
-        let (evidence, until) = self.runners[r].shun(category);
-        *evidence = (*evidence + sign).min(6.0);
-        if *evidence > 4.5 && !crowd {
-            (*evidence, *until) = (2.0, now + REST_S);
+        if evidence > 4.5 && 2 * (self.chosen.iter().filter(gone).count() + 1) <= self.chosen.len() {
+            *self.runners[r].shun(category) = (2.0, now + REST_S);
         }
     }
 
@@ -693,8 +746,6 @@
     /// ln(0.4/0.03) = 2.6, a good one ln(0.6/0.97) = -0.5; past ln(0.95/0.01) = 4.5 the runner rests, then
     /// gets a trial, and another after each rest. At most half rest at once: beyond, it is not their trouble.
     fn weigh(&mut self, r: usize, now: f64, sign: f64) {
-        let ready = || self.runners.iter().filter(|x| x.ready());
-        let crowd = 2 * (ready().filter(|x| x.resting.is_some()).count() + 1) > ready().count();
         let runner = &mut self.runners[r];
         runner.evidence = (runner.evidence + sign).clamp(0.0, 6.0);
         if runner.resting.is_some() && runner.trial.is_some() {
@@ -704,8 +755,12 @@
                 runner.rest_s = (2.0 * runner.rest_s).min(6.0);
                 runner.resting = Some(now + runner.rest_s);
             }
-        } else if runner.resting.is_none() && runner.evidence > 4.5 && !crowd {
-            runner.resting = Some(now + runner.rest_s);
+        } else if runner.resting.is_none() && runner.evidence > 4.5 {
+            let ready = || self.runners.iter().filter(|x| x.ready());
+            if 2 * (ready().filter(|x| x.resting.is_some()).count() + 1) <= ready().count() {
+                let runner = &mut self.runners[r];
+                runner.resting = Some(now + runner.rest_s);
+            }
         } else if runner.evidence == 0.0 {
             runner.rest_s = REST_S;
         }
@@ -788,7 +843,7 @@
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
-            let runner_left = self.chosen.iter().any(|&r| self.of_kind(w, r));
+            let runner_left = !self.works[w as usize].near.samples().is_empty();
             if now > self.patience(w) || !self.may_resend(w, now) || !runner_left {
                 self.held.remove(place);
                 self.end(host, w, true);
@@ -800,7 +855,8 @@
         for place in 0..self.chosen.len() {
             let r = self.chosen[place];
             let at = self.runners[r].at;
-            if !std::mem::replace(&mut sized[at.kind as usize], true) {
+            let cold = now < self.runners[r].born() + self.terms.cold_s;
+            if cold && !std::mem::replace(&mut sized[at.kind as usize], true) {
                 self.size_up(at.kind, now);
             }
             if self.runners[r].resting.is_some_and(|until| until - self.runners[r].rest_s > now - LOOK_S) {
@@ -830,7 +886,12 @@
         let quiet_s = match ho.started {
             // Where others' work is not known, it may wait behind theirs as long as any did lately.
             None if self.terms.probes => QUIET_S + 3.0 * run,
-            None if self.terms.tells_start && !full => QUIET_S + 2.0 * self.waits.quantile(0.99).unwrap_or(0.0),
+            // Guards against others' queues, or a jam, taken for illness: twice as long as starts waited of late.
+            None if self.terms.tells_start && !full => {
+                let unknown = self.terms.replicas > 1 && self.waits.samples().len() < WAITS;
+                let waits = 2.0 * self.waits.quantile(0.99).unwrap_or(0.0);
+                QUIET_S + waits + if unknown { 3.0 * run } else { 0.0 }
+            }
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
         };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,10 +1,10 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, PLACES, REST_S};
+use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, NEAR, PLACES, REST_S, WAITS};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::Wi;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 pub struct HandOff {
     pub runner: usize,
@@ -51,6 +51,8 @@
     pub avoid: (usize, f64),
     /// The runner its key belongs to by hash, as long as no entry says more.
     pub home: usize,
+    /// The runners it looks at, highest in its key's order first.
+    pub near: Ring<usize, NEAR>,
     /// Where it might go, best first; how many of these it has asked in this round, and when it may again.
     pub places: Ring<usize, PLACES>,
     pub asked: usize,
@@ -79,6 +81,7 @@
             ran: None,
             avoid: (usize::MAX, taken),
             home: usize::MAX,
+            near: Ring::default(),
             places: Ring::default(),
             asked: 0,
             ask_at: taken,
@@ -98,7 +101,9 @@
     pub out: Option<f64>,
     pub back: f64,
     pub mine: f64,
-    /// Room left, in the present pass.
+    /// The last pass that looked at it, whether it had room in it, and how much is left.
+    pub pass: u64,
+    pub open: bool,
     pub room: f64,
     pub cold_left: f64,
     /// How many dispatchers rank before this one there.
@@ -152,6 +157,8 @@
             out: None,
             back: f64::NEG_INFINITY,
             mine: 0.0,
+            pass: 0,
+            open: false,
             room: 0.0,
             cold_left: 0.0,
             ahead: 0,
@@ -219,6 +226,9 @@
     /// Room or work has come since the last pass.
     pub(crate) changed: bool,
     pub(crate) last_pass: f64,
+    pub(crate) passes: u64,
+    /// The runners that rank highest for each key met lately, by the kind that its category needs.
+    pub(crate) orders: BTreeMap<(u32, Option<u8>), Ring<usize, NEAR>>,
     pub(crate) works: Vec<Work>,
     pub(crate) free: Vec<u32>,
     pub(crate) held: Vec<u32>,
@@ -245,7 +255,7 @@
     pub(crate) fresh_s: f64,
     pub(crate) next_seek: f64,
     /// How long hand-offs waited for their start, the median of the last, and when that was learnt.
-    pub(crate) waits: Ring<f64, 8>,
+    pub(crate) waits: Ring<f64, WAITS>,
     pub(crate) wait_s: f64,
     pub(crate) waited_at: f64,
     /// Until when another process of this dispatcher has its part of the cold runners.
@@ -269,6 +279,8 @@
             pcg,
             changed: true,
             last_pass: now,
+            passes: 0,
+            orders: BTreeMap::new(),
             works: Vec::new(),
             free: Vec::new(),
             held: Vec::new(),
@@ -458,11 +470,11 @@
         work.home == r || (self.terms.probes || !self.crowd()) && work.holders.samples().contains(&r)
     }
 
-    /// The runners in use that the key table lists for a key.
-    pub(crate) fn holders(&self, key: u32, now: f64) -> Ring<usize, 8> {
-        let mut holders = Ring::default();
-        let listed = self.chosen.iter().filter(|&&r| self.runners[r].holds(key, now));
-        listed.for_each(|&r| holders.push(r));
+    /// The runners it looks at that the key table lists for its key.
+    pub(crate) fn holders(&self, w: u32, now: f64) -> Ring<usize, 8> {
+        let (work, mut holders) = (&self.works[w as usize], Ring::default());
+        let near = work.near.samples().iter();
+        near.filter(|&&r| self.runners[r].holds(work.job.key, now)).for_each(|&r| holders.push(r));
         holders
     }
 
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -262,7 +262,7 @@
 #[test]
 fn a_trial_that_runs_on_lets_another_follow() {
     let (mut d, mut host) = start(terms(), 2);
-    for category in [RERUNNABLE, EXCLUSIVE, RERUNNABLE, EXCLUSIVE] {
+    for category in [RERUNNABLE, EXCLUSIVE].repeat(4) {
         for wi in [0, 1].map(|_| host.take(&mut d, category, 0)) {
             if host.sent_to(wi) == [0] {
                 host.come(&mut d, wi, 0, Outcome::Error);
@@ -298,7 +298,7 @@
 fn a_category_leaves_a_runner_that_fails_it_alone() {
     let (mut d, mut host) = start(terms(), 2);
     let mut failed = 0;
-    for n in 0..20 {
+    for n in 0..60 {
         // Most of its work of the other category ends well.
         let category = if n % 6 == 0 { RERUNNABLE } else { TICKETED };
         let wi = host.take(&mut d, category, 0);
@@ -308,7 +308,7 @@
             failed += bad as usize;
             host.come(&mut d, wi, no as u16, if bad { Outcome::Error } else { Outcome::Finished });
         }
-        host.pass(&mut d, 0.02);
+        host.now += 0.02;
         host.asked.clear();
     }
     assert_eq!(failed, 2, "two errors are enough for that category");
