--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,6 +40,9 @@
 const FRESH: f64 = 0.25;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
 const LOOK_S: f64 = 0.1;
+/// What each work item of ours there adds to a wait, in usual runs by the slots seen: with one in four of a
+/// runner's slots ending next, and 0.1 and 0.5 were tried.
+const LOAD: f64 = 0.25;
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 /// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
@@ -179,39 +182,45 @@
         if near.samples().is_empty() {
             near = self.highest(key, self.chosen.iter().copied().filter(|&r| fit(self, r)));
         }
-        let all = near.samples();
-        let mut places = Ring::default();
-        let home = match self.terms.probes {
-            true => {
-                let (close, far): (Vec<usize>, Vec<usize>) =
-                    all.iter().partition(|r| self.liking(key, **r).0);
-                close.iter().take(PLACES / 2).for_each(|&r| places.push(r));
-                far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
-                all.first().copied()
-            }
-            false if self.crowd() => self.best_place(w, all.to_vec(), now),
-            false => all.first().copied(),
-        };
+        let (mut places, asked) = (Ring::default(), self.asked.samples());
+        if self.terms.probes {
+            let all = near.samples().iter().copied();
+            let (close, far): (Vec<usize>, Vec<usize>) = all.partition(|&r| self.liking(key, r).0);
+            close.iter().take(PLACES / 2).for_each(|&r| places.push(r));
+            far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
+        }
+        let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
         let work = &mut self.works[w as usize];
-        work.home = home.filter(|_| key != 0).unwrap_or(usize::MAX);
+        work.own = (SPREAD * share * self.chosen.len() as f64).ceil() as usize;
         (work.near, work.places, work.asked) = (near, places, 0);
+        self.best_place(w, now);
     }
 
-    /// The place of least cost for a key among runners in its order: its own cost a wait, the others also a
-    /// fetch. Guards against hundreds of dispatchers that bring each key to runners of their own: all agree
-    /// on as many places as its share of the arrivals asks for, and each prefers one of these by rank.
-    fn best_place(&self, w: u32, mut all: Vec<usize>, now: f64) -> Option<usize> {
-        let Job { key, .. } = self.works[w as usize].job;
-        let asked = self.asked.samples();
-        let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
-        let places = (SPREAD * share * self.chosen.len() as f64).ceil() as usize;
-        let own = all.len().min(places);
-        all[..own].sort_unstable_by_key(|&r| !self.runners[r].rank);
-        let size = self.cold_size(&self.works[w as usize].job);
+    /// A key's home is its place of least cost: its own places cost a wait, the others also a fetch.
+    /// Guards against dispatchers that bring each key to runners of their own: all agree on as many places as
+    /// its share of the arrivals asks for, and each prefers one of these by rank.
+    fn best_place(&mut self, w: u32, now: f64) {
+        let work = &self.works[w as usize];
+        let (job, near) = (work.job, work.near.samples());
+        let size = self.cold_size(&job);
         let takes = |r: usize| self.usable(w, r, now) && size <= self.cold_left(r, now);
-        let cost = |n: usize, r| self.wait_at(r, now) + if n < places { 0.0 } else { self.fetch_s };
-        let able = all.iter().enumerate().filter(|(_, r)| takes(**r)).map(|(n, &r)| (cost(n, r), r));
-        able.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, r)| r).or(all.first().copied())
+        let cost = |n: usize, r: usize| {
+            let fetch_s =
+                if n < work.own || self.runners[r].holds(job.key, now) { 0.0 } else { self.fetch_s };
+            self.wait_at(r, now) + self.load_at(r) + fetch_s
+        };
+        let able = near.iter().enumerate().filter(|(_, r)| !self.terms.probes && takes(**r));
+        let able = able.map(|(n, &r)| (cost(n, r), n >= work.own, !self.runners[r].rank, r));
+        let least = able.min_by(|a, b| a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        let home = least.map(|(.., r)| r).or(near.first().copied()).filter(|_| job.key != 0);
+        self.works[w as usize].home = home.unwrap_or(usize::MAX);
+    }
+
+    /// What our own work there adds to the wait.
+    fn load_at(&self, r: usize) -> f64 {
+        let runner = &self.runners[r];
+        let run = self.mean_run;
+        LOAD * run * runner.mine / runner.most.max(CAP_START)
     }
 
     /// Who is liked better for a key: in the own zone where crossing is dearer than a fetch, then by hash.
@@ -578,7 +587,9 @@
         let now = host.now();
         let w = self.held.remove(place);
         let size = self.cold_size(&self.works[w as usize].job);
-        let fetches = !self.holds(w, r);
+        let Work { job, own, ref near, .. } = self.works[w as usize];
+        let fetches = !near.samples()[..own.min(near.samples().len())].contains(&r)
+            && !self.runners[r].holds(job.key, now);
         let runner = &mut self.runners[r];
         let work = &mut self.works[w as usize];
         runner.load(&work.job, 1.0);
@@ -836,6 +847,7 @@
 
     fn look(&mut self, host: &mut impl Host) {
         let now = host.now();
+        self.mean_run = self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
         self.fresh_s = FRESH * self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         let lately = self.terms.probes && now < self.waited_at + 5.0;
@@ -843,6 +855,9 @@
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
+            if !self.terms.probes {
+                self.best_place(w, now);
+            }
             let runner_left = !self.works[w as usize].near.samples().is_empty();
             if now > self.patience(w) || !self.may_resend(w, now) || !runner_left {
                 self.held.remove(place);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -53,6 +53,8 @@
     pub home: usize,
     /// The runners it looks at, highest in its key's order first.
     pub near: Ring<usize, NEAR>,
+    /// So many of these are its key's own.
+    pub own: usize,
     /// Where it might go, best first; how many of these it has asked in this round, and when it may again.
     pub places: Ring<usize, PLACES>,
     pub asked: usize,
@@ -82,6 +84,7 @@
             avoid: (usize::MAX, taken),
             home: usize::MAX,
             near: Ring::default(),
+            own: 0,
             places: Ring::default(),
             asked: 0,
             ask_at: taken,
@@ -245,6 +248,7 @@
     pub(crate) asked: Ring<u32, ASKED>,
     pub(crate) busy: Ring<f64, 256>,
     pub(crate) fetch_s: f64,
+    pub(crate) mean_run: f64,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
     /// When last something held had waited half its spare time.
@@ -292,6 +296,7 @@
             asked: Ring::default(),
             busy: Ring::default(),
             fetch_s: 0.0,
+            mean_run: 0.0,
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
             next_look: now,
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -98,6 +98,20 @@
 }
 
 impl Fake {
+    /// Work of other keys, in pairs whose second takes longer away from home: what a fetch costs is known.
+    /// Then all runners are new processes, warm.
+    pub fn learn_fetches(&mut self, d: &mut Dispatcher, runners: usize) {
+        for n in 0..64 {
+            let both = [0, 0].map(|category| self.take(d, category, 100 + n));
+            for (wi, takes_s) in both.into_iter().zip([0.1, 0.3]) {
+                self.now += takes_s;
+                self.come(d, wi, 0, Outcome::Finished);
+            }
+        }
+        self.asked.clear();
+        let fresh = |r| (r, Some(Listed { born: self.now - 50.0, ..runner(r as u64) }));
+        d.listed(self.now, News::Changes, &(0..runners).map(fresh).collect::<Vec<_>>());
+    }
     pub fn take(&mut self, d: &mut Dispatcher, category: usize, key: u32) -> Wi {
         let expiry = self.now + 10.0;
         let wi = d.take(self.now, Job { expiry, ..job(category, key) }).unwrap();
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -44,6 +44,7 @@
 #[test]
 fn work_waits_a_little_for_a_busy_holder_and_then_goes_elsewhere() {
     let (mut d, mut host) = start(terms(), 2);
+    host.learn_fetches(&mut d, 2);
     let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
     let home = host.sent_to(all[0])[0];
     assert_eq!(host.sent_to(all[1]), [home]);
@@ -212,6 +213,7 @@
 #[test]
 fn a_wait_behind_long_jobs_of_our_own_is_no_silence() {
     let (mut d, mut host) = start(terms(), 2);
+    host.learn_fetches(&mut d, 2);
     let [long, next] = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 42));
     assert_eq!(host.sent_to(long), host.sent_to(next));
     long.started(&mut d, host.now, 0);
@@ -601,6 +603,7 @@
 #[test]
 fn a_runner_out_by_hand_gets_nothing_whatever_the_list_says() {
     let (mut d, mut host) = start(terms(), 2);
+    host.learn_fetches(&mut d, 2);
     let first: Vec<Wi> = (0..2).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
     let home = host.sent_to(first[0])[0];
     let waits = host.take(&mut d, RERUNNABLE, 42);
@@ -700,3 +703,23 @@
     let all: Vec<Wi> = (0..6).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
     assert!(all.iter().filter(|wi| host.sent_to(**wi) == [9]).count() >= 2, "{:?}", host.asked);
 }
+
+#[test]
+fn work_of_ours_at_a_keys_place_makes_another_place_cheaper_than_waiting_there() {
+    // Room is left at the home, but two run there and nothing does elsewhere; a fetch costs next to nothing.
+    let (mut d, mut host) = start(Terms { replicas: 5, ..terms() }, 4);
+    let all: Vec<Wi> = (0..4).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
+    let mut places: Vec<usize> = all.iter().map(|wi| host.sent_to(*wi)[0]).collect();
+    places.sort_unstable();
+    assert_eq!(places, [0, 1, 2, 3]);
+}
+
+#[test]
+fn a_work_item_whose_runners_all_left_finds_others() {
+    let (mut d, mut host) = start(terms(), 60);
+    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let gone: Vec<_> = (0..60).filter(|r| *r != 7).map(|r| (r, None)).collect();
+    d.listed(host.now, News::Changes, &gone);
+    host.come(&mut d, wi, 0, Outcome::NoConnection);
+    assert_eq!(host.sent_to(wi).last(), Some(&7));
+}
