--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -46,7 +46,7 @@
 /// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 /// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
-pub const WAITS: usize = 8;
+pub const WAITS: usize = 32;
 /// Silence longer than this is a sign: several times what the word of taking or starting a job takes.
 const QUIET_S: f64 = 0.35;
 
