Starts may be off by what is stated: a runner is cold from the word of its start, whatever its stamp

Change: where the setting is there, it started when the list first told of this start, or margin after its stamp if that is sooner; any other stamp, an earlier one included, is another start. Nothing changes without the setting. Safety.BudgetErrorUs is read too: a hand-off may last that much longer than the expiry told, and is answered then. When it may hurt: a list that comes late makes a runner cold for that much longer than it is.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -254,9 +254,14 @@
                 None => runner.at.ready = false,
                 Some(listed) => {
                     // A restart forgets keys, room and verdicts: the new process has none of them.
-                    let started = listed.born > runner.at.born + 1e-6;
+                    // Guards against clocks that differ: another stamp, earlier or later, is another start, and
+                    // that was not after the list told of it.
+                    let off = self.terms.start_off_s;
+                    let moved = listed.born - runner.at.born;
+                    let started = moved > 1e-6 || off > 0.0 && moved < -1e-6;
                     if started {
                         runner.restart();
+                        runner.start = if off > 0.0 { now.min(listed.born + off) } else { listed.born };
                     }
                     runner.rank = draw(self.terms.me as u64, listed.id);
                     runner.at = listed;
@@ -601,7 +606,8 @@
         runner.trial = runner.resting.map(|_| now + runner.rest_s);
         work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
-        host.hand_off(Wi(w), r, work.job.expiry);
+        // Guards against clocks that differ: the client may wait longer than was told, and be answered then.
+        host.hand_off(Wi(w), r, work.job.expiry + self.terms.expiry_off_s);
     }
 
     // ---- room ----
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -100,6 +100,8 @@
 
 pub struct Runner {
     pub at: Listed,
+    /// When it started, at the latest.
+    pub start: f64,
     /// Out by hand, and since when; and when it was put back with no start told since.
     pub out: Option<f64>,
     pub back: f64,
@@ -157,6 +159,7 @@
     pub fn new() -> Self {
         Runner {
             at: Listed { id: 0, kind: 0, born: f64::NEG_INFINITY, cell: 0, zone: 0, ready: false },
+            start: f64::NEG_INFINITY,
             out: None,
             back: f64::NEG_INFINITY,
             mine: 0.0,
@@ -208,15 +211,15 @@
 
     /// When it started, as far as is known.
     pub fn born(&self) -> f64 {
-        self.at.born.max(self.back)
+        self.start.max(self.back)
     }
 
     /// After a ban nothing of before holds. Guards against a process of whose start the list has not told: it
     /// counts as cold from now on.
     pub fn put_back(&mut self, since: f64, now: f64) {
-        let at = self.at;
+        let (at, start) = (self.at, self.start);
         self.restart();
-        (self.at, self.out) = (at, None);
+        (self.at, self.start, self.out) = (at, start, None);
         if at.born < since {
             self.back = now;
         }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -57,6 +57,10 @@
     pub fall_multiple: f64,
     pub fall_s: f64,
     pub must_ask_s: f64,
+    /// How much earlier or later than it was a start may be listed; zero where clocks agree.
+    pub start_off_s: f64,
+    /// How much earlier or later than it is an expiry may be told; zero where clocks agree.
+    pub expiry_off_s: f64,
     pub categories: Vec<Category>,
 }
 
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -723,3 +723,22 @@
     host.come(&mut d, wi, 0, Outcome::NoConnection);
     assert_eq!(host.sent_to(wi).last(), Some(&7));
 }
+
+#[test]
+fn where_clocks_differ_a_runner_is_cold_from_the_word_of_its_start_whatever_its_stamp_says() {
+    for (off, stamp, sent) in [(0.0, -50.0, 2), (60.0, -50.0, 1), (60.0, 30.0, 1), (60.0, -90.0, 2)] {
+        let (mut d, mut host) = start(Terms { start_off_s: off, ..terms() }, 1);
+        // A restart, stamped earlier than the start before it: only where clocks differ is that another one.
+        d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0 + stamp, ..runner(0) }))]);
+        let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
+        let got = all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count();
+        assert_eq!(got, sent, "off by {off}, stamped {stamp}");
+        host.pass(&mut d, 21.0);
+        let late = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 0));
+        all.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+        assert!(
+            late.iter().all(|wi| host.sent_to(*wi) == [0]),
+            "warm by then, off by {off}, stamped {stamp}"
+        );
+    }
+}
