--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -699,7 +699,7 @@
         // as busy as this one; 2.5 times what was seen at the most, in case they are not.
         let all =
             self.busy.mean().unwrap_or(0.0) * self.terms.replicas as f64 / grown().count().max(1) as f64;
-        let most = if self.terms.replicas > FEW { most.max(all.min(2.5 * most)) } else { most };
+        let most = most.max(all.min(2.5 * most));
         let of_kind = self.runners.iter_mut().filter(|r| r.at.kind == kind);
         of_kind.for_each(|r| r.capacity = 0.75 * most / pace);
     }
