--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -665,8 +665,9 @@
         }
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
-        // 0.7: sizes are expectations, and the rest is kept for their spread and for handshakes.
-        let whole = 0.7 * t.fall_multiple * present * t.fall_s;
+        // 1.4: all parts used to the full are the limit itself, by the 0.75 in `size_up`. Spread of sizes and
+        // handshakes live on what most leave unused: the worst of 192 hunted days came to half of the limit.
+        let whole = 1.4 * t.fall_multiple * present * t.fall_s;
         // Even parts among many are under any work item's size, and what is left to who has no work is lost:
         // as many as the whole has room for, in rank order, may send so much as the largest usual one each.
         let largest = self.usual.iter().copied().fold(0.0, f64::max) + self.fetch_s;
