--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,8 +17,6 @@
 pub const KEY_AGE_S: f64 = 30.0;
 /// The slot cap of a runner that reports nothing starts here (DESIGN).
 pub const CAP_START: f64 = 2.0;
-/// Up to so many dispatchers each sees enough of a runner by itself: its cap finds its part of the slots.
-const FEW: usize = 8;
 /// So many runners of a kind are used at the most, for the connections and the CPU of visiting them.
 const MOST: usize = 128;
 /// A key has so many times the places that its share of the arrivals fills: room for a crowd at some of them.
@@ -34,8 +32,6 @@
 pub const NEAR: usize = 16;
 /// The orders of so many keys are kept: several times what one dispatcher meets between two lists.
 const ORDERS: usize = 4096;
-/// So many are probed at once: one mostly has room, and each costs.
-const AT_ONCE: usize = 1;
 /// A report is held for true for this part of a usual job: load changes as jobs come and go.
 const FRESH: f64 = 0.25;
 /// Housekeeping, doubts and give-ups are looked at this often: fine beside due times, cheap in CPU.
@@ -133,7 +129,13 @@
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
         self.asked.push(job.key);
-        let id = self.place(Work::new(job, now));
+        // Guards against repeats that look fresh: a client gives up all its tries at one time, so what is left
+        // of the longest wait seen tells when its first try came, by which it is due.
+        let longest = &mut self.longest[job.category];
+        *longest = longest.max(job.expiry - now);
+        let off = self.terms.expiry_off_s > 0.0;
+        let begun = if off { now } else { now.min(job.expiry - *longest) };
+        let id = self.place(Work::new(job, begun, now));
         self.hold(now, id);
         Some(Wi(id))
     }
@@ -207,7 +209,7 @@
         let cost = |n: usize, r: usize| {
             let fetch_s =
                 if n < work.own || self.runners[r].holds(job.key, now) { 0.0 } else { self.fetch_s };
-            self.wait_at(r, now) + self.load_at(r) + fetch_s
+            self.wait_at(r, now) + self.load_at(r, now) + fetch_s
         };
         let able = near.iter().enumerate().filter(|(_, r)| !self.terms.probes && takes(**r));
         let able = able.map(|(n, &r)| (cost(n, r), n >= work.own, !self.runners[r].rank, r));
@@ -217,10 +219,11 @@
     }
 
     /// What our own work there adds to the wait.
-    fn load_at(&self, r: usize) -> f64 {
+    fn load_at(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
-        let run = self.mean_run;
-        LOAD * run * runner.mine / runner.most.max(CAP_START)
+        let full = runner.mine + 1.0 > runner.cap && now > self.crowded_at + 5.0;
+        let free = if full { self.mean_run / runner.mine.max(1.0) } else { 0.0 };
+        LOAD * self.mean_run * runner.mine / runner.most.max(CAP_START) + free
     }
 
     /// Who is liked better for a key: in the own zone where crossing is dearer than a fetch, then by hash.
@@ -359,14 +362,9 @@
         }
     }
 
-    /// Others' work at the runners is not seen, and there is much of it.
-    pub(crate) fn crowd(&self) -> bool {
-        self.terms.probes || self.terms.replicas > FEW
-    }
-
     /// How much longer work is believed to wait at a runner than at one of which nothing is known: as long as
     /// it did there, if that was of late. A cold one, as far as its budget goes, spares it the usual wait.
-    fn wait_at(&self, r: usize, now: f64) -> f64 {
+    pub(crate) fn wait_at(&self, r: usize, now: f64) -> f64 {
         let runner = &self.runners[r];
         let (waited, at) = runner.wait;
         match () {
@@ -394,8 +392,7 @@
                 }
                 self.runners[r].room = self.room(r, now);
                 self.runners[r].cold_left = self.cold_left(r, now);
-                self.runners[r].open = self.has_room(r, now);
-                if self.runners[r].open {
+                if self.has_room(r, now) {
                     open.push(r);
                 }
             }
@@ -453,7 +450,7 @@
             } else {
                 places.samples().len()
             };
-            while now >= at && sent < AT_ONCE && asked < most {
+            while now >= at && sent == 0 && asked < most {
                 let r = places.samples()[asked];
                 asked += 1;
                 if !self.usable(w, r, now) || now < self.runners[r].reported + self.fresh_s {
@@ -534,28 +531,25 @@
         let half = |w: u32| now + self.wait_s > self.works[w as usize].taken + 0.5 * due_s(w);
         let crowded = self.held.iter().any(|&w| half(w));
         self.crowded_at = if crowded { now } else { self.crowded_at };
-        let worth = |n: usize| self.terms.categories[n].payoff / self.usual[n].max(1e-3);
+        let by_work = self.terms.pays_by_work;
+        let worth =
+            |n: usize| self.terms.categories[n].payoff / if by_work { 1.0 } else { self.usual[n].max(1e-3) };
         let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
         for &w in &self.held {
             let work = &self.works[w as usize];
             let category = self.category(w);
             let worth = worth(work.job.category);
-            // A client's repeat comes back after its first try's due time as a rule.
             let ends = now + self.wait_s + self.pace * self.expected(&work.job);
-            let late = work.job.repeat || ends > self.due(w);
+            // A repeat that asks and is turned away costs runners more than it can still earn.
+            let again = self.terms.probes && work.begun < work.taken - PROMPT_S;
+            let late = again || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
             // waits at one: for 5 s after a crowd, what is late leaves a slot free, and what pays under 0.4
             // of the best where dear work cannot ask for a slot.
             let cheap = worth < 0.4 * best && !self.terms.probes;
             let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
-            let there = |r: &&usize| self.runners.get(**r).is_some_and(|r| r.pass == self.passes && r.open);
-            let all = work
-                .holders
-                .samples()
-                .iter()
-                .chain([&work.home].into_iter().filter(|h| !work.holders.samples().contains(h)));
-            let others = open.len() - all.filter(there).filter(|r| self.holds(w, **r)).count();
+            let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
             let busy = others == open.len() && self.busy_holder(w);
@@ -791,14 +785,19 @@
         self.ratios.quantile(0.8).filter(|_| known).map_or(f64::INFINITY, |ratio| 2.0 * ratio)
     }
 
+    /// How long a work item should run: by its own hint as far as hints went of late, else as its like.
     fn expected(&self, job: &Job) -> f64 {
-        self.usual[job.category].max(1e-3)
+        let usual =
+            if job.hint > 0.0 { job.hint * self.hinted[job.category] } else { self.usual[job.category] };
+        usual.max(1e-3)
     }
 
     fn due(&self, w: u32) -> f64 {
         let work = &self.works[w as usize];
         let category = self.category(w);
-        (work.taken + category.due_s + category.stretch * self.expected(&work.job)).min(work.job.expiry)
+        let own = if work.job.hint > 0.0 { work.job.hint } else { self.expected(&work.job) };
+        let since = if self.terms.probes { work.taken } else { work.begun };
+        (since + category.due_s + category.stretch * own).min(work.job.expiry)
     }
 
     // ---- the rules on effects ----
@@ -856,7 +855,7 @@
         let now = host.now();
         self.mean_run = self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
-        self.fresh_s = FRESH * self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
+        self.fresh_s = FRESH * self.mean_run;
         let lately = self.terms.probes && now < self.waited_at + 5.0;
         self.wait_s = self.waits.quantile(0.5).filter(|_| lately).unwrap_or(0.0);
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -131,6 +131,7 @@
         fall_multiple: info.number("Safety.FallMultiple")?,
         fall_s: info.seconds("Safety.OverloadForUs")?,
         must_ask_s: info.seconds("Safety.MustAskInUs")?,
+        pays_by_work: info.word("PayoffBasis", &["request", "work"])? == "work",
         start_off_s: info.seconds("Safety.ReadyMarginUs")?,
         expiry_off_s: info.seconds("Safety.BudgetErrorUs")?,
         categories,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -40,6 +40,8 @@
 
 pub struct Work {
     pub job: Job,
+    /// When it was first asked for, as far as is known; when it was taken.
+    pub begun: f64,
     pub taken: f64,
     pub live: bool,
     pub ended: bool,
@@ -72,9 +74,10 @@
 }
 
 impl Work {
-    pub fn new(job: Job, taken: f64) -> Self {
+    pub fn new(job: Job, begun: f64, taken: f64) -> Self {
         Work {
             job,
+            begun,
             taken,
             live: true,
             ended: false,
@@ -106,9 +109,8 @@
     pub out: Option<f64>,
     pub back: f64,
     pub mine: f64,
-    /// The last pass that looked at it, whether it had room in it, and how much is left.
+    /// The last pass that looked at it, and the room left in it.
     pub pass: u64,
-    pub open: bool,
     pub room: f64,
     pub cold_left: f64,
     /// How many dispatchers rank before this one there.
@@ -164,7 +166,6 @@
             back: f64::NEG_INFINITY,
             mine: 0.0,
             pass: 0,
-            open: false,
             room: 0.0,
             cold_left: 0.0,
             ahead: 0,
@@ -244,6 +245,11 @@
     pub(crate) chosen: Vec<usize>,
     pub(crate) runs: Vec<Ring<f64, 32>>,
     pub(crate) usual: Vec<f64>,
+    /// The hints of the same runs, where there were any, and how much longer than these they took.
+    pub(crate) hints: Vec<Ring<f64, 32>>,
+    pub(crate) hinted: Vec<f64>,
+    /// The longest that a client of each category was willing to wait.
+    pub(crate) longest: Vec<f64>,
     pub(crate) ratios: Ring<f64, 64>,
     /// How much longer than expected work took where its key was not held.
     pub(crate) fetches: Ring<f64, 32>,
@@ -282,6 +288,9 @@
         Dispatcher {
             runs: vec![Ring::default(); terms.categories.len()],
             usual: terms.categories.iter().map(|c| c.due_s).collect(),
+            hints: vec![Ring::default(); terms.categories.len()],
+            hinted: vec![1.0; terms.categories.len()],
+            longest: vec![0.0; terms.categories.len()],
             terms,
             pcg,
             changed: true,
@@ -466,6 +475,11 @@
         *evidence = (*evidence - 0.5).max(0.0);
         self.runs[job.category].push(run);
         self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
+        if job.hint > 0.0 {
+            self.hints[job.category].push(job.hint);
+            self.hinted[job.category] =
+                self.usual[job.category] / self.hints[job.category].mean().unwrap_or(run);
+        }
         self.ratios.push(run / expected);
         if ho.fetches && job.key != 0 {
             self.fetches.push(run - expected);
@@ -474,8 +488,9 @@
 
     pub(crate) fn holds(&self, w: u32, r: usize) -> bool {
         let work = &self.works[w as usize];
-        // Among many the home is the best of its places, and a holder may be crowded.
-        work.home == r || (self.terms.probes || !self.crowd()) && work.holders.samples().contains(&r)
+        // A holder where work waits longer than a fetch takes is none.
+        let listed = || work.holders.samples().contains(&r);
+        work.home == r || listed() && (self.terms.probes || self.wait_at(r, self.last_pass) <= self.fetch_s)
     }
 
     /// The runners it looks at that the key table lists for its key.
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -57,6 +57,8 @@
     pub fall_multiple: f64,
     pub fall_s: f64,
     pub must_ask_s: f64,
+    /// The payoff is for each unit of work, not for each work item.
+    pub pays_by_work: bool,
     /// How much earlier or later than it was a start may be listed; zero where clocks agree.
     pub start_off_s: f64,
     /// How much earlier or later than it is an expiry may be told; zero where clocks agree.
@@ -82,10 +84,10 @@
     /// A hash of what it needs, the same at every dispatcher; 0 for nothing.
     pub key: u32,
     pub expiry: f64,
+    /// How many seconds of work it is said to be; 0 where nothing is said.
+    pub hint: f64,
     pub slots: f64,
     pub memory: f64,
-    /// The client says it tries again.
-    pub repeat: bool,
 }
 
 /// A runner as the list names it.
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -372,9 +372,9 @@
         category,
         key: key.map_or(0, |key| (number(key) >> 32) as u32).max(key.is_some() as u32),
         expiry: 0.0,
+        hint: 0.0,
         slots,
         memory,
-        repeat: request.repeat,
     };
     Ok((job, (wait_s - WAY_S).max(0.0)))
 }
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -238,7 +238,6 @@
     pub category: Option<String>,
     /// How long the client will wait, as it says it.
     pub waits: Option<String>,
-    pub repeat: bool,
     pub extra: Option<String>,
     pub body: Bytes,
     pub keep: bool,
@@ -270,7 +269,6 @@
             id: value(head.headers, "req-id")?,
             category: value(head.headers, "req-kind")?,
             waits: value(head.headers, "req-deadline")?,
-            repeat: value(head.headers, "req-retry")?.is_some_and(|said| said == "1"),
             extra: value(head.headers, "req-extra")?,
             body: Bytes::new(),
             keep: said.keeps(head.version),
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -186,9 +186,9 @@
                     category,
                     key: if record.u64(12) == 0 { 0 } else { short(record.u64(12)) },
                     expiry: record.u64(20) as f64 / 1e6,
+                    hint: if flags & 1 != 0 { record.u32(28) as f64 / 1e6 } else { 0.0 },
                     slots: record.f32(32) as f64,
                     memory: record.f32(36) as f64,
-                    repeat: flags & 2 != 0,
                 };
                 let wi =
                     dispatcher.take(now, job).ok_or_else(|| format!("category {category} is not known"))?;
