--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -43,6 +43,8 @@
 const PROMPT_S: f64 = 0.1;
 /// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
 pub const WAITS: usize = 32;
+/// So many of the last outcomes tell how often work fails anywhere: one in sixty shows.
+pub const OUTCOMES: usize = 64;
 /// Silence longer than this is a sign: several times what the word of taking or starting a job takes.
 const QUIET_S: f64 = 0.35;
 
@@ -714,6 +716,7 @@
                 if ho.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
+                self.errors.push((ho.runner, false));
                 self.measured(job, ho, run, expected);
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
                 // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
@@ -727,8 +730,10 @@
                 self.weigh(ho.runner, now, 1.0);
             }
             Outcome::Error | Outcome::Reset => {
-                self.shun(ho.runner, job.category, now, 3.0);
-                self.weigh(ho.runner, now, 3.0);
+                let sign = self.error_sign(ho.runner);
+                self.errors.push((ho.runner, true));
+                self.shun(ho.runner, job.category, now, sign);
+                self.weigh(ho.runner, now, sign);
             }
             // Guards against a dead runner that is still listed: it looks idle and draws work. One failure
             // alone may be the network's; it is left alone for a second even where it cannot rest.
@@ -741,6 +746,15 @@
         self.runners[ho.runner].trial = None;
     }
 
+    /// How much an error says against its runner: ln(0.4/p), p being the errors of late at all the others.
+    /// Guards against blaming runners for what fails anywhere: a lock or a store behind all, bad requests.
+    fn error_sign(&self, r: usize) -> f64 {
+        let others = self.errors.samples().iter().filter(|(at, _)| *at != r);
+        let (all, bad) = others.fold((0.0, 0.0), |(all, bad), (_, b)| (all + 1.0, bad + *b as u8 as f64));
+        // One in 33 where nothing is known, the rate of the test itself.
+        (0.4 * (all + 33.0) / (bad + 1.0)).ln().clamp(0.0, 3.0)
+    }
+
     /// The same test for one category there, which then leaves the runner for a while. Guards against one
     /// that fails this category alone.
     fn shun(&mut self, r: usize, category: usize, now: f64, sign: f64) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, NEAR, PLACES, REST_S, WAITS};
+use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, NEAR, OUTCOMES, PLACES, REST_S, WAITS};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::Wi;
@@ -269,6 +269,8 @@
     pub(crate) next_seek: f64,
     /// How long hand-offs waited for their start, the median of the last, and when that was learnt.
     pub(crate) waits: Ring<f64, WAITS>,
+    /// Where work ended of late, and whether by an error.
+    pub(crate) errors: Ring<(usize, bool), OUTCOMES>,
     pub(crate) wait_s: f64,
     pub(crate) waited_at: f64,
     /// Until when another process of this dispatcher has its part of the cold runners.
@@ -316,6 +318,7 @@
             fresh_s: 0.0,
             next_seek: f64::INFINITY,
             waits: Ring::default(),
+            errors: Ring::default(),
             wait_s: 0.0,
             waited_at: f64::NEG_INFINITY,
             leaves_cold: f64::NEG_INFINITY,
