--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -156,20 +156,17 @@
         order
     }
 
-    /// Half of them in the own zone where crossing is dearer than a fetch, so that neither zone is alone.
+    /// Two in the own zone first where crossing is dearer than a fetch, then elsewhere: neither is all.
     fn highest(&self, key: u32, among: impl Iterator<Item = usize>) -> Ring<usize, NEAR> {
         let all = among.map(|r| (std::cmp::Reverse(self.liking(key, r)), r));
         let (mut close, mut far): (Vec<_>, Vec<_>) = all.partition(|(liking, _)| liking.0 .0);
+        close.sort_unstable();
+        far.sort_unstable();
+        let (close, rest) = close.split_at(close.len().min(PLACES / 2));
+        let (first, last) = far.split_at(far.len().min(NEAR / 2));
         let mut order = Ring::default();
-        for (all, most) in [(&mut close, NEAR / 2), (&mut far, NEAR)] {
-            let most = most - order.samples().len().min(most);
-            if all.len() > most {
-                all.select_nth_unstable(most);
-                all.truncate(most);
-            }
-            all.sort_unstable();
-            all.iter().for_each(|&(_, r)| order.push(r));
-        }
+        let all = [close, first, rest, last].into_iter().flatten();
+        all.take(NEAR).for_each(|&(_, r)| order.push(r));
         order
     }
 
@@ -186,17 +183,11 @@
         if near.samples().is_empty() {
             near = self.highest(key, self.chosen.iter().copied().filter(|&r| fit(self, r)));
         }
-        let (mut places, asked) = (Ring::default(), self.asked.samples());
-        if self.terms.probes {
-            let all = near.samples().iter().copied();
-            let (close, far): (Vec<usize>, Vec<usize>) = all.partition(|&r| self.liking(key, r).0);
-            close.iter().take(PLACES / 2).for_each(|&r| places.push(r));
-            far.iter().take(PLACES - places.samples().len()).for_each(|&r| places.push(r));
-        }
+        let asked = self.asked.samples();
         let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
         let work = &mut self.works[w as usize];
         work.own = (SPREAD * share * self.chosen.len() as f64).ceil() as usize;
-        (work.near, work.places, work.asked) = (near, places, 0);
+        (work.near, work.asked) = (near, 0);
         self.best_place(w, now);
     }
 
@@ -441,19 +432,18 @@
         for place in 0..self.held.len() {
             let w = self.held[place];
             let work = &self.works[w as usize];
-            let (places, mut asked, mut at) = (work.places.clone(), work.asked, work.ask_at);
+            let (mut asked, mut at) = (work.asked, work.ask_at);
+            let places = &work.near.clone();
+            let places = &places.samples()[..places.samples().len().min(PLACES)];
             let out = |r: &usize| self.runners[*r].probed.map(|t| t + wait_s).filter(|t| now < *t);
-            let due = places.samples()[..asked].iter().filter_map(out).fold(f64::NEG_INFINITY, f64::max);
+            let due =
+                places[..asked.min(places.len())].iter().filter_map(out).fold(f64::NEG_INFINITY, f64::max);
             at = at.max(due);
             let mut sent = 0;
             // Only one is asked in a later round: what has waited so long has learnt that all are full.
-            let most = if work.rounds > 0 {
-                (asked + 1).min(places.samples().len())
-            } else {
-                places.samples().len()
-            };
+            let most = if work.rounds > 0 { (asked + 1).min(places.len()) } else { places.len() };
             while now >= at && sent == 0 && asked < most {
-                let r = places.samples()[asked];
+                let r = places[asked];
                 asked += 1;
                 if !self.usable(w, r, now) || now < self.runners[r].reported + self.fresh_s {
                     continue;
@@ -465,7 +455,7 @@
                 }
             }
             // Guards against a cut that takes all its places: others come up in their stead.
-            if sent == 0 && now >= at && !places.samples().iter().any(|&r| self.usable(w, r, now)) {
+            if sent == 0 && now >= at && !places.iter().any(|&r| self.usable(w, r, now)) {
                 self.find_home(w, now);
             }
             let work = &mut self.works[w as usize];
@@ -474,7 +464,7 @@
             } else if now >= at {
                 work.ask_at = now + (self.fresh_s / FRESH).max(wait_s) * 2f64.powi(work.rounds.min(8));
                 (at, work.rounds) = (work.ask_at, work.rounds + 1);
-                asked = if work.rounds == 1 || asked >= places.samples().len() { 0 } else { asked };
+                asked = if work.rounds == 1 || asked >= places.len() { 0 } else { asked };
             }
             work.asked = asked;
             self.next_seek = self.next_seek.min(at);
@@ -497,7 +487,8 @@
             };
             let may = work.rounds > 0 && work.spare <= 0.0;
             let idlest = |r: &usize| (10.0 * self.runners[*r].busy) as i64;
-            match work.places.samples().iter().filter(|r| may && queues(r)).copied().min_by_key(idlest) {
+            let places = work.near.samples().iter().take(PLACES);
+            match places.filter(|r| may && queues(r)).copied().min_by_key(idlest) {
                 Some(r) => self.send(host, place, r),
                 None => place += 1,
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, hand-off and runner.
 use crate::pcg::Pcg;
-use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, NEAR, OUTCOMES, PLACES, REST_S, WAITS};
+use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, NEAR, OUTCOMES, REST_S, WAITS};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::Wi;
@@ -57,8 +57,7 @@
     pub near: Ring<usize, NEAR>,
     /// So many of these are its key's own.
     pub own: usize,
-    /// Where it might go, best first; how many of these it has asked in this round, and when it may again.
-    pub places: Ring<usize, PLACES>,
+    /// How many of these it has asked in this round, and when it may again.
     pub asked: usize,
     pub ask_at: f64,
     pub rounds: i32,
@@ -88,7 +87,6 @@
             home: usize::MAX,
             near: Ring::default(),
             own: 0,
-            places: Ring::default(),
             asked: 0,
             ask_at: taken,
             rounds: 0,
