--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -538,10 +538,13 @@
             let late = again || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work of many dispatchers while dear work
-            // waits at one: for 5 s after a crowd, what is late leaves a slot free, and what pays under 0.4
-            // of the best where dear work cannot ask for a slot.
-            let cheap = worth < 0.4 * best && !self.terms.probes;
-            let spare = if (cheap || late) && now < self.crowded_at + 5.0 { 1.0 } else { 0.0 };
+            // waits at one: in a crowd, what is late leaves a slot free, and what pays under 0.4 of the best.
+            // Where runners are asked, dear work asks for a slot; what is late holds back for 5 s more.
+            let leaves = match self.terms.probes {
+                true => late && now < self.crowded_at + 5.0,
+                false => crowded && (late || worth < 0.4 * best),
+            };
+            let spare = if leaves { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
@@ -861,7 +864,7 @@
         self.mean_run = self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
         self.fresh_s = FRESH * self.mean_run;
-        let lately = self.terms.probes && now < self.waited_at + 5.0;
+        let lately = now < self.waited_at + 5.0;
         self.wait_s = self.waits.quantile(0.5).filter(|_| lately).unwrap_or(0.0);
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
