--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -132,8 +132,8 @@
     pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
         self.terms.categories.get(job.category)?;
         self.asked.push(job.key);
-        // Guards against repeats that look fresh: a client gives up all its tries at one time, so what is left
-        // of the longest wait seen tells when its first try came, by which it is due.
+        // Guards against repeats that look fresh: a client gives up all tries at one time, so what is left of
+        // the longest wait seen tells when its first try came, by which it is due.
         let longest = &mut self.longest[job.category];
         *longest = longest.max(job.expiry - now);
         let off = self.terms.expiry_off_s > 0.0;
@@ -237,8 +237,8 @@
                 None => runner.at.ready = false,
                 Some(listed) => {
                     // A restart forgets keys, room and verdicts: the new process has none of them.
-                    // Guards against clocks that differ: another stamp, earlier or later, is another start, and
-                    // that was not after the list told of it.
+                    // Guards against clocks that differ: any other stamp is another start, and that was not
+                    // after the list told of it.
                     let off = self.terms.start_off_s;
                     let moved = listed.born - runner.at.born;
                     let started = moved > 1e-6 || off > 0.0 && moved < -1e-6;
@@ -367,13 +367,10 @@
         self.passes += 1;
         for place in 0..self.held.len() {
             for &r in self.works[self.held[place] as usize].near.samples() {
-                if std::mem::replace(&mut self.runners[r].pass, self.passes) == self.passes {
-                    continue;
-                }
-                self.runners[r].room = self.room(r, now);
-                self.runners[r].cold_left = self.cold_left(r, now);
-                if self.has_room(r, now) {
-                    open.push(r);
+                if std::mem::replace(&mut self.runners[r].pass, self.passes) != self.passes {
+                    self.runners[r].room = self.room(r, now);
+                    self.runners[r].cold_left = self.cold_left(r, now);
+                    open.extend(Some(r).filter(|&r| self.has_room(r, now)));
                 }
             }
         }
@@ -416,6 +413,7 @@
         let now = host.now();
         let wait_s = 3.0 * self.probe_times.quantile(0.5).unwrap_or(QUIET_S / 3.0).max(1e-3);
         self.next_seek = f64::INFINITY;
+        let mut again = false;
         for place in 0..self.held.len() {
             let w = self.held[place];
             let work = &self.works[w as usize];
@@ -432,11 +430,14 @@
             while now >= at && sent == 0 && asked < most {
                 let r = places[asked];
                 asked += 1;
-                if !self.usable(w, r, now) || now < self.runners[r].reported + self.fresh_s {
+                let fresh = now < self.runners[r].reported + self.fresh_s;
+                let room = self.runners[r].free >= self.works[w as usize].job.slots;
+                if !self.usable(w, r, now) || fresh && !room {
                     continue;
                 }
                 sent += 1;
-                if self.runners[r].probed.is_none() {
+                again |= fresh;
+                if !fresh && self.runners[r].probed.is_none() {
                     self.runners[r].probed = Some(now);
                     host.probe(r);
                 }
@@ -456,6 +457,9 @@
             work.asked = asked;
             self.next_seek = self.next_seek.min(at);
         }
+        if again {
+            self.pass(host);
+        }
     }
 
     /// What has asked all its places and found none free takes the best of them as far as the cap allows: a
@@ -507,13 +511,11 @@
     /// Prices what is held for one pass.
     fn price(&mut self, open: &[usize], now: f64) {
         // Crowded: not all that is held can be in time; something has waited half its spare time.
-        let due_s = |w: u32| self.category(w).due_s;
-        let half = |w: u32| now + self.wait_s > self.works[w as usize].taken + 0.5 * due_s(w);
-        let crowded = self.held.iter().any(|&w| half(w));
+        let spent = |w: u32| now + self.wait_s - self.works[w as usize].taken;
+        let crowded = self.held.iter().any(|&w| spent(w) > 0.5 * self.category(w).due_s);
         self.crowded_at = if crowded { now } else { self.crowded_at };
-        let by_work = self.terms.pays_by_work;
-        let worth =
-            |n: usize| self.terms.categories[n].payoff / if by_work { 1.0 } else { self.usual[n].max(1e-3) };
+        let a_slots_second = |n: usize| if self.terms.pays_by_work { 1.0 } else { self.usual[n].max(1e-3) };
+        let worth = |n: usize| self.terms.categories[n].payoff / a_slots_second(n);
         let best = (0..self.usual.len()).map(worth).fold(0.0, f64::max);
         for &w in &self.held {
             let work = &self.works[w as usize];
@@ -524,32 +526,26 @@
             let again = self.terms.probes && work.begun < work.taken - PROMPT_S;
             let late = again || ends > self.due(w);
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
-            // Guards against freed slots going round among cheap work of many dispatchers while dear work
-            // waits at one: in a crowd, what is late leaves a slot free, and what pays under 0.4 of the best.
-            // Where runners are asked, dear work asks for a slot; what is late holds back for 5 s more.
+            // Guards against freed slots going round among cheap work while dear work waits elsewhere: in a
+            // crowd what is late, or pays under 0.4 of the best, leaves a slot free; where runners are
+            // asked, and dear work asks for a slot, what is late does so for 5 s more.
             let leaves = match self.terms.probes {
                 true => late && now < self.crowded_at + 5.0,
                 false => crowded && (late || worth < 0.4 * best),
             };
-            let spare = if leaves { 1.0 } else { 0.0 };
             let others = open.iter().filter(|&&r| !self.holds(w, r)).count();
             // Guards against the shared store: where it is the bottleneck, fetching a key once more costs
             // everybody. Work whose holders are well but busy waits for them as long as it can end in time.
-            let busy = others == open.len() && self.busy_holder(w);
+            let ill = |r: &Runner| r.resting.is_some() || r.shunned(work.job.category, now);
+            let well = |r: &Runner| r.ready() && !ill(r);
+            let busy = others == open.len() && self.runners.get(work.home).is_some_and(well);
             let waits = !self.terms.probes && !late && busy;
             let odds = 1.0 - (-(others as f64) / open.len().max(1) as f64).exp();
             let work = &mut self.works[w as usize];
-            (work.value, work.spare, work.waits, work.odds) = (value, spare, waits, odds);
+            (work.value, work.spare, work.waits, work.odds) = (value, leaves as u8 as f64, waits, odds);
         }
     }
 
-    fn busy_holder(&self, w: u32) -> bool {
-        let work = &self.works[w as usize];
-        let shunned = |r: &Runner| r.resting.is_some() || r.shunned(work.job.category, self.last_pass);
-        let well = |r: &usize| self.runners.get(*r).is_some_and(|r| r.ready() && !shunned(r));
-        work.holders.samples().iter().chain([&work.home]).any(|r| well(r) && self.of_kind(w, *r))
-    }
-
     /// The held work item with the largest P at a runner, among those of the largest value in a crowd; ties
     /// to the longest held.
     fn largest(&self, r: usize, now: f64) -> Option<(usize, f64)> {
@@ -609,7 +605,10 @@
         // The cheap and frequent reasons first: on a bad day most of what is held fits nowhere. What waits
         // has no holder among the runners with room.
         let (job, probes) = (&work.job, self.terms.probes);
+        // Guards against a fetch for want of a question: its places come first, in their order.
+        let asked = || work.near.samples().iter().take(work.asked).any(|&asked| asked == r);
         if work.waits
+            || probes && job.key != 0 && work.rounds == 0 && !asked()
             || work.spare > 0.0 && runner.room < job.slots + work.spare
             || self.cold_size(job) > runner.cold_left
             || !self.usable(w, r, now)
@@ -642,8 +641,8 @@
         }
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
-        // 1.4: all parts used to the full are the limit itself, by the 0.75 in `size_up`. Spread of sizes and
-        // handshakes live on what most leave unused: the worst of 192 hunted days came to half of the limit.
+        // 1.4: all parts in full are the limit, by the 0.75 in `size_up`. The spread of sizes lives on what
+        // most leave unused: the worst of 192 hunted days came to half of the limit.
         let whole = 1.4 * t.fall_multiple * present * t.fall_s;
         // Even parts among many are under any work item's size, and what is left to who has no work is lost:
         // as many as the whole has room for, in rank order, may send so much as the largest usual one each.
@@ -907,7 +906,7 @@
         let quiet_s = match ho.started {
             // Where others' work is not known, it may wait behind theirs as long as any did lately.
             None if self.terms.probes => QUIET_S + 3.0 * run,
-            // Guards against others' queues, or a jam, taken for illness: twice as long as starts waited of late.
+            // Guards against others' queues, or a jam, taken for illness: twice the longest last wait.
             None if self.terms.tells_start && !full => {
                 let unknown = self.terms.replicas > 1 && self.waits.samples().len() < WAITS;
                 let waits = 2.0 * self.waits.quantile(0.99).unwrap_or(0.0);
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -525,6 +525,25 @@
     Terms { probes: true, free_slots_at: Some(0), replicas, ..terms() }
 }
 
+#[test]
+fn a_runner_that_happens_to_be_known_free_gets_no_work_whose_own_places_were_not_asked() {
+    let (mut d, mut host) = start(probing(50), 8);
+    let first = host.take(&mut d, RERUNNABLE, 42);
+    let Probe(free) = host.asked[0] else { panic!("{:?}", host.asked) };
+    host.probed(&mut d, free, &[20.0]);
+    assert_eq!(host.sent_to(first), [free]);
+    let others = (50..60).map(|key| host.take(&mut d, RERUNNABLE, key));
+    let others: Vec<Wi> = others.collect();
+    let asked: Vec<usize> =
+        host.asked.iter().filter_map(|a| if let Probe(r) = a { Some(*r) } else { None }).collect();
+    assert!(asked.len() > 2, "each asks the place of its own key");
+    for r in asked.into_iter().skip(1) {
+        host.probed(&mut d, r, &[20.0]);
+    }
+    let there = others.iter().filter(|wi| host.sent_to(**wi) == [free]).count();
+    assert!(there <= 3, "only those at home there: {there}");
+}
+
 #[test]
 fn held_work_asks_its_places_one_after_another_and_goes_where_a_slot_is_free() {
     let (mut d, mut host) = start(probing(50), 8);
