Only waits told in the last 5 s count, so that a wait that is over shuts nothing out

House term: nobody is shut out for longer than the evidence lasts. Change: each wait is kept with when it was told. Both settings of clocks are read or refused with one line: a story.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -60,8 +60,7 @@
         let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(first) else { return };
         (ho.started, ho.moved) = (Some(now), now);
         let (waited, runner) = (now - ho.sent, &mut d.runners[ho.runner]);
-        d.waits.push(waited);
-        d.waited_at = now;
+        d.waits.push((waited, now));
         runner.heard = now;
         runner.running += 1.0;
         runner.wait = (waited, now);
@@ -349,7 +348,7 @@
         let (waited, at) = runner.wait;
         match () {
             () if waited > PROMPT_S && now < at + REMEMBERED * waited => waited,
-            () if now < runner.born() + self.terms.cold_s => -self.waits.quantile(0.5).unwrap_or(0.0),
+            () if now < runner.born() + self.terms.cold_s => -self.wait_s,
             () => 0.0,
         }
     }
@@ -850,8 +849,10 @@
         self.mean_run = self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
         self.fresh_s = FRESH * self.mean_run;
-        let lately = now < self.waited_at + 5.0;
-        self.wait_s = self.waits.quantile(0.5).filter(|_| lately).unwrap_or(0.0);
+        // Guards against a wait that is over shutting work out, none of which then starts and tells.
+        let lately = self.waits.samples().iter().filter(|(_, at)| now < at + 5.0);
+        self.wait_s = median(lately.map(|(wait, _)| *wait)).unwrap_or(0.0);
+        self.longest_wait = self.waits.samples().iter().map(|(wait, _)| *wait).fold(0.0, f64::max);
         self.pace = self.ratios.quantile(0.5).unwrap_or(1.0).max(1.0);
         for place in (0..self.held.len()).rev() {
             let w = self.held[place];
@@ -909,8 +910,7 @@
             // Guards against others' queues, or a jam, taken for illness: twice the longest last wait.
             None if self.terms.tells_start && !full => {
                 let unknown = self.terms.replicas > 1 && self.waits.samples().len() < WAITS;
-                let waits = 2.0 * self.waits.quantile(0.99).unwrap_or(0.0);
-                QUIET_S + waits + if unknown { 3.0 * run } else { 0.0 }
+                QUIET_S + 2.0 * self.longest_wait + if unknown { 3.0 * run } else { 0.0 }
             }
             Some(_) if self.terms.progress_s > 0.0 => 2.2 * self.terms.progress_s, // Their own beat.
             _ => QUIET_S + 3.0 * run,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -267,12 +267,13 @@
     pub(crate) probe_times: Ring<f64, 16>,
     pub(crate) fresh_s: f64,
     pub(crate) next_seek: f64,
-    /// How long hand-offs waited for their start, the median of the last, and when that was learnt.
-    pub(crate) waits: Ring<f64, WAITS>,
+    /// How long hand-offs waited for their start, and when that was told.
+    pub(crate) waits: Ring<(f64, f64), WAITS>,
     /// Where work ended of late, and whether by an error.
     pub(crate) errors: Ring<(usize, bool), OUTCOMES>,
+    /// The median of those told of late, and the longest of all.
     pub(crate) wait_s: f64,
-    pub(crate) waited_at: f64,
+    pub(crate) longest_wait: f64,
     /// Until when another process of this dispatcher has its part of the cold runners.
     pub(crate) leaves_cold: f64,
     pub(crate) next_ask: f64,
@@ -321,7 +322,7 @@
             waits: Ring::default(),
             errors: Ring::default(),
             wait_s: 0.0,
-            waited_at: f64::NEG_INFINITY,
+            longest_wait: 0.0,
             leaves_cold: f64::NEG_INFINITY,
             next_ask,
             ask_again_s,
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -817,3 +817,22 @@
         assert_eq!(went, Some((first == TICKETED) as usize), "by work: {by_work}");
     }
 }
+
+#[test]
+fn how_far_clocks_may_be_off_is_read_or_refused_with_one_line() {
+    let read = |path: &str, value: &str| {
+        let mut stated = Stated::default();
+        stated.state("Report.How", "off");
+        stated.state(path, value);
+        read_terms(&stated).map(|terms| (terms.start_off_s, terms.expiry_off_s))
+    };
+    assert_eq!(read("Me", "0"), Ok((0.0, 0.0)), "absent");
+    assert_eq!(read("Safety.ReadyMarginUs", "9936000"), Ok((9.936, 0.0)));
+    assert_eq!(read("Safety.BudgetErrorUs", "1e12"), Ok((0.0, 1e6)), "huge, and of no harm");
+    for path in ["Safety.ReadyMarginUs", "Safety.BudgetErrorUs"] {
+        for value in ["-1", "soon", "inf", "NaN"] {
+            let refused = read(path, value).unwrap_err();
+            assert!(refused.contains(path) && refused.contains(value) && !refused.contains('\n'));
+        }
+    }
+}
