--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -527,7 +527,8 @@
             let value = if crowded { worth * if late { category.tardy } else { 1.0 } } else { 0.0 };
             // Guards against freed slots going round among cheap work while dear work waits elsewhere: in a
             // crowd what is late, or pays under 0.4 of the best, leaves a slot free; where runners are
-            // asked, and dear work asks for a slot, what is late does so for 5 s more.
+            // asked, and dear work asks for a slot, what is late does so for 5 s more. What is late and then
+            // pays nothing is not sent in a crowd at all: it would make others late, who come again.
             let leaves = match self.terms.probes {
                 true => late && now < self.crowded_at + 5.0,
                 false => crowded && (late || worth < 0.4 * best),
@@ -608,7 +609,7 @@
         let asked = || work.near.samples().iter().take(work.asked).any(|&asked| asked == r);
         if work.waits
             || probes && job.key != 0 && work.rounds == 0 && !asked()
-            || work.spare > 0.0 && runner.room < job.slots + work.spare
+            || work.spare > 0.0 && (runner.room < job.slots + work.spare || !probes && work.value <= 0.0)
             || self.cold_size(job) > runner.cold_left
             || !self.usable(w, r, now)
         {
@@ -892,7 +893,8 @@
         let (due, run) = (self.due(w), self.pace * self.expected(&work.job));
         // Where late pays nothing, it ends with the last start that a long run would still make in time.
         let late_pays = self.category(w).tardy > 0.0;
-        let last = if late_pays { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run };
+        let last =
+            if late_pays { 0.5 * (due + work.job.expiry) - run } else { due - 1.4 * run - self.wait_s };
         // Never into the expiry itself: two looks before it the answer is given whatever it is.
         last.max(work.taken + LOOK_S).min(work.job.expiry - 2.0 * LOOK_S)
     }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -836,3 +836,26 @@
         }
     }
 }
+
+#[test]
+fn in_a_jam_what_comes_too_late_to_pay_is_turned_away_at_once_and_no_longer_than_waits_are_told() {
+    let mut terms = Terms { replicas: 5, ..terms() };
+    terms.categories.iter_mut().for_each(|category| category.tardy = 0.0);
+    let (mut d, mut host) = start(terms, 60);
+    let all: Vec<Wi> = (0..32).map(|n| host.take(&mut d, RERUNNABLE, 100 + n)).collect();
+    host.now += 3.0;
+    for wi in all {
+        wi.started(&mut d, host.now, 0);
+        host.come(&mut d, wi, 0, Outcome::Finished);
+    }
+    host.pass(&mut d, 0.1);
+    d.carry_usual(RERUNNABLE, 0.1);
+    host.asked.clear();
+    let jammed = host.take(&mut d, RERUNNABLE, 42);
+    host.pass(&mut d, 0.3);
+    assert!(host.sent_to(jammed).is_empty() && matches!(host.ends(jammed)[..], [Defer(..)]));
+    host.pass(&mut d, 5.0);
+    host.asked.clear();
+    let later = host.take(&mut d, RERUNNABLE, 42);
+    assert_eq!(host.sent_to(later).len(), 1, "no wait was told of late");
+}
