--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -642,7 +642,7 @@
         let warm = (age - t.fall_s).max(0.0) / t.cold_s;
         let present = runner.capacity * (t.cold_from + (1.0 - t.cold_from) * warm);
         // 1.4: all parts in full are the limit, by the 0.75 in `size_up`. The spread of sizes lives on what
-        // most leave unused: the worst of 192 hunted days came to half of the limit.
+        // most leave unused: the worst of 432 hunted days came to three fifths.
         let whole = 1.4 * t.fall_multiple * present * t.fall_s;
         // Even parts among many are under any work item's size, and what is left to who has no work is lost:
         // as many as the whole has room for, in rank order, may send so much as the largest usual one each.
