What a client says to its runner goes on with each attempt, the key of a repeat among it

Logs of one such id showed an Idempotency-Key with categories whose repeats are dropped by key; the program wrote its own four headers and left all others out (http.rs, Calling).

Ruled out: body, path and query, which went on whole; other categories, which passed. Mend: end-to-end headers go on as they came, all but those between neighbours (RFC 9110, 7.6.1) and those that are told anew.

--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -227,10 +227,10 @@
         let (no, category) = (taken.made, taken.category);
         taken.made += 1;
         let ticket = Ticket { wi, serial: taken.serial, no };
-        let Order { id, target, body } = &taken.order;
-        let (target, id, body) = (target.clone(), id.to_string(), body.clone());
+        let Order { target, headers, body, .. } = &taken.order;
+        let (target, headers, body) = (target.clone(), headers.clone(), body.clone());
         let spend_by = self.outside.spend_by(sent, runner, category);
-        let message = Outgoing::Work { target, id, wait_s: 0.0, spend_by, body };
+        let message = Outgoing::Work { target, headers, wait_s: 0.0, spend_by, body };
         self.outside.goes(sent, no > 0);
         self.load.sends(category, true);
         let whole = Rc::new(Cell::new(false));
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -25,7 +25,7 @@
     /// No first byte of it goes out from `spend_by` on.
     Work {
         target: String,
-        id: String,
+        headers: Bytes,
         wait_s: f64,
         spend_by: f64,
         body: Bytes,
@@ -60,6 +60,8 @@
 pub struct Order {
     pub id: Rc<str>,
     pub target: String,
+    /// The header lines that go on with it, its id's among them.
+    pub headers: Bytes,
     pub body: Bytes,
 }
 
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -374,7 +374,8 @@
         Err(reply) => return Some(reply),
     };
     let id: Rc<str> = request.id.unwrap_or_default().into();
-    let order = Order { id: id.clone(), target: request.target, body: request.body };
+    let Request { target, headers, body, .. } = request;
+    let order = Order { id: id.clone(), target, headers, body };
     let mut waiting = Waiting { tray: &door.tray, id: Some(id) };
     let (tell, mut told) = oneshot::channel();
     door.tray.call(move |exchange| exchange.take(order, job, wait_s, tell)).await;
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -221,6 +221,40 @@
     }
 }
 
+/// Headers between two neighbours (RFC 9110, 7.6.1), and those that are written anew for a runner.
+const NOT_PASSED_ON: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    "req-deadline",
+];
+
+/// The headers that go on with a request to its runner, as they came: what a client says to the runner, such as the
+/// key by which that drops a repeat, is not the dispatcher's to leave out.
+fn end_to_end(headers: &[Header]) -> Bytes {
+    let named = |name: &str| {
+        let connection = headers.iter().filter(|header| header.name.eq_ignore_ascii_case("connection"));
+        let mut options = connection.flat_map(|header| header.value.split(|b| *b == b','));
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+    };
+    let mut lines = BytesMut::new();
+    for Header { name, value } in headers {
+        if !NOT_PASSED_ON.iter().any(|other| name.eq_ignore_ascii_case(other)) && !named(name) {
+            [name.as_bytes(), b": ", value, b"\r\n"].iter().for_each(|part| lines.put_slice(part));
+        }
+    }
+    lines.freeze()
+}
+
 // ---- what clients and runners send here ----
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -242,6 +276,8 @@
     pub extra: Option<String>,
     /// What a recorded work item goes by, the same at each try.
     pub name: Option<String>,
+    /// What goes on to the runner, header lines as they came.
+    pub headers: Bytes,
     pub body: Bytes,
     pub keep: bool,
 }
@@ -274,6 +310,7 @@
             waits: value(head.headers, "req-deadline")?,
             extra: value(head.headers, "req-extra")?,
             name: value(head.headers, "req-name")?,
+            headers: end_to_end(head.headers),
             body: Bytes::new(),
             keep: said.keeps(head.version),
         };
@@ -362,16 +399,14 @@
     fn encode(&mut self, message: Outgoing, dst: &mut BytesMut) -> Result<(), Fault> {
         let host = &self.host;
         match message {
-            Outgoing::Work { target, id, wait_s, body, .. } => {
+            Outgoing::Work { target, headers, wait_s, body, .. } => {
                 let wait = (wait_s * 1e3).max(0.0) as u64;
                 let head = format!(
-                    "POST {target} HTTP/1.1\r\nHost: {host}\r\nReq-Id: {id}\r\nReq-Deadline: {wait}m\r\n\
-                     Content-Length: {}\r\n\r\n",
+                    "POST {target} HTTP/1.1\r\nHost: {host}\r\nReq-Deadline: {wait}m\r\nContent-Length: {}\r\n",
                     body.len()
                 );
-                dst.reserve(head.len() + body.len());
-                dst.put_slice(head.as_bytes());
-                dst.put_slice(&body);
+                dst.reserve(head.len() + headers.len() + 2 + body.len());
+                [head.as_bytes(), &headers, b"\r\n", &body].iter().for_each(|part| dst.put_slice(part));
             }
             Outgoing::GiveUp { id } => {
                 let head = format!("DELETE /jobs/{id} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n");
