Discovery is asked so that on every path a change is read within 6 s of its being there to read

Read through, with the paths to the 6 s written beside the constants (list.rs, terms.rs): a call that failed quickly waits 0 to 3.5 s, then 0 to 1.9 s (was up to 7.5 s); a silent watch is noticed after 3.3 s (4.5 s left 1.5 s for dial, turn and answer) and asked anew at once each time, not once; a dial that timed out has waited already; a call that waits for its answer is no longer given up because the decisions ask again; a change lost with a broken line is asked for at once, the watch read on meanwhile, with growing pauses where it can never be read (it was lost until the watch happened to end); a change on several lines is read (it was passed over); late word of before does not make a runner ready; a first beat is no list. Where lists are pushed, the agent is asked first and every 0.1 s, and the old list is used only if nobody can be asked.

Ruled out: late reading of lines (the runners at fault were named in no line read); the grace (half is kept, as before).

Ten stories on loopback; nine were seen red on the sources before, the tenth (calls without end) guards the new way.

--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -48,7 +48,8 @@
         for (place, listed) in &entries {
             self.desk.load.gates[*place].listed.set(listed.is_some());
         }
-        self.desk.outside.has_list(news != News::Cached || !entries.is_empty());
+        // Guards against a first beat of the list taken for the list itself: nothing has been named yet.
+        self.desk.outside.has_list(news == News::Whole || !self.desk.load.gates.is_empty());
         self.dispatcher.listed(self.desk.now, news, &entries);
         self.hold_out(&entries);
         self.bury(&entries);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -294,9 +294,8 @@
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
     pub fn list_failed(&mut self, now: f64) {
-        self.next_ask = now + self.ask_again_s * (0.5 + self.pcg.chance());
-        let most = self.terms.ask_spread_s().max(self.terms.must_ask_s / 8.0);
-        self.ask_again_s = (2.0 * self.ask_again_s).min(most);
+        self.next_ask = now + self.ask_again_s * self.pcg.chance();
+        self.ask_again_s = self.terms.ask_again_s(self.ask_again_s);
     }
 
     /// The process is to end then: nothing in hand may outlast it.
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -114,6 +114,7 @@
         replicas: info.count("ReplicasOfMe")?.max(1),
         me: info.count("Me")?,
         asks_for_list: info.word("Discovery", &["pushed", "on_request"])? == "on_request",
+        asks_agent: false,
         probes: on_probe && free_slots_at.is_some(),
         free_slots_at,
         free_memory_at: meaning("free_memory"),
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -35,6 +35,8 @@
     /// This dispatcher's number among them.
     pub me: usize,
     pub asks_for_list: bool,
+    /// Where it asks: an agent beside it, which lists are pushed to, not one service for all.
+    pub asks_agent: bool,
     /// Runners report their load to probes, and to nothing else.
     pub probes: bool,
     /// Where in a load report each figure stands.
@@ -68,12 +70,30 @@
 
 /// The list is left so much time for a call of each dispatcher: to write out some hundred runners.
 const CALL_S: f64 = 0.05;
+/// Calls are spread over so much at the most, later ones after failures over so much: what changes counts as told 6 s
+/// after the list could be reached. A dial that times out (1 s), a first turn and an answer fit in that; so do two
+/// refusals in later turns and the call after them.
+const SPREAD_S: f64 = 3.5;
+const LATER_S: f64 = 1.9;
+/// An agent answers one dispatcher alone, and what it has counts as told at once: asked well within any grace.
+const AGENT_S: f64 = 0.1;
 
 impl Terms {
     /// Over how long calls to the list are spread. Guards against all dispatchers asking at once, after a
     /// start or a failure: the list works through calls in turn, and goes on with those that were given up.
     pub fn ask_spread_s(&self) -> f64 {
-        (CALL_S * self.replicas as f64).clamp(0.3, 0.5 * self.must_ask_s.max(0.6))
+        match self.asks_agent {
+            true => AGENT_S,
+            false => (CALL_S * self.replicas as f64).clamp(0.3, SPREAD_S.min(0.5 * self.must_ask_s.max(0.6))),
+        }
+    }
+
+    /// The same after one more failure.
+    pub fn ask_again_s(&self, last_s: f64) -> f64 {
+        match self.asks_agent {
+            true => AGENT_S,
+            false => (2.0 * last_s).min(LATER_S.min(0.25 * self.must_ask_s.max(1.2))),
+        }
     }
 }
 
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -17,7 +17,7 @@
 /// The protocol's bound on bodies.
 pub const BODY_MOST: usize = 64 << 10;
 /// One line of the list: thousands of runners.
-const LINE_MOST: usize = 4 << 20;
+pub const LINE_MOST: usize = 4 << 20;
 
 /// Why a message could not be read.
 #[derive(Debug)]
--- a/crates/sagetrail/src/list.rs
+++ b/crates/sagetrail/src/list.rs
@@ -1,24 +1,32 @@
 //! The list of runners: one watch, opened when the decisions ask for it; two while one list takes over from
-//! another.
-use crate::http::{next, wire, AskList, Fault, Watching};
-use crate::sockets::Tray;
+//! another, or while one that had a flaw is asked again.
+//!
+//! The budget: a change counts as told 6 s after discovery had it and could be reached. A silent watch: `SILENT_S`,
+//! then at once a dial (`DIAL_S` at the most) and the answer. A dial that timed out has waited already: at once again.
+//! A call that failed quickly waits for its turn, which the decisions draw (`terms.rs`: 3.5 s, later 1.9 s).
+use crate::http::{next, wire, AskList, Fault, Watching, LINE_MOST};
+use crate::sockets::{Exchange, Tray};
 use crate::trial::Broken;
 use futures_util::SinkExt;
-use sagetrail_core::{Names, Told};
+use sagetrail_core::{Life, Names, Told};
 use std::cell::Cell;
 use std::future::{pending, Future};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, Instant};
 
-/// A line comes every 2 s even if nothing changes; two missed and a little are the end of the watch. Guards
-/// against a list cut off, whose connection stays open and silent.
-const SILENT_S: f64 = 4.5;
+/// A line comes every 2 s even if nothing changes; one missed, and most of another, are the end of the watch. Guards
+/// against a list cut off, whose connection stays open and silent; two missed (4.5 s) left too little of the 6 s.
+const SILENT_S: f64 = 3.3;
 const DIAL_S: f64 = 1.0;
+/// After a flaw the list is asked again so soon; twice as late after each further one, up to the most.
+const MEND_S: f64 = 0.1;
+const MEND_MOST_S: f64 = 30.0;
 
 /// One list: where it is, and the last of its versions that was read without a flaw.
 struct Place {
@@ -26,15 +34,20 @@
     after: Cell<u64>,
     /// Rung when it has told of runners.
     spoke: Notify,
-    /// A watch fell silent, with its connection open; and a line has come since one was last opened anew for that.
-    silent: Cell<bool>,
-    spoken: Cell<bool>,
+    /// Rung when a line had a flaw; and how many watches in a row had one.
+    flawed: Notify,
+    flaws: Cell<i32>,
 }
 
 impl Place {
     fn new(at: SocketAddr, after: u64) -> Rc<Place> {
-        let (silent, spoken) = (Cell::new(false), Cell::new(true));
-        Rc::new(Place { at, after: Cell::new(after), spoke: Notify::new(), silent, spoken })
+        Rc::new(Place {
+            at,
+            after: Cell::new(after),
+            spoke: Notify::new(),
+            flawed: Notify::new(),
+            flaws: Cell::new(0),
+        })
     }
 }
 
@@ -47,6 +60,10 @@
     pub ask: Rc<Notify>,
     /// The version that the dispatcher starts from.
     pub after: u64,
+    /// The list of before the start, where it holds only if nobody can be asked.
+    pub known: Cell<Option<Told>>,
+    /// This dispatcher's turn among all that have read the same flaw.
+    pub turn_s: f64,
     pub failing: Cell<bool>,
     pub broken: Option<Broken>,
 }
@@ -62,12 +79,65 @@
     fault
 }
 
+async fn due(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
+
+/// What is read of a change that comes on several lines.
+#[derive(Default)]
+struct Indented {
+    text: Vec<u8>,
+    margin: usize,
+}
+
+impl Indented {
+    /// The change that ends with this line; `None` while more is to come. `Err` of one that broke off, with what this
+    /// line says by itself.
+    fn add(&mut self, line: &[u8]) -> Option<Result<serde_json::Value, Option<serde_json::Value>>> {
+        let margin = line.iter().take_while(|b| b.is_ascii_whitespace()).count();
+        if self.text.is_empty() {
+            return match serde_json::from_slice(line) {
+                Ok(value) => Some(Ok(value)),
+                Err(error) if error.is_eof() => {
+                    *self = Indented { text: line.to_vec(), margin };
+                    None
+                }
+                Err(_) => Some(Err(None)),
+            };
+        }
+        // Only a line that is no further in can be its last, or another change: it is not parsed again with each.
+        let ends = margin <= self.margin && line.trim_ascii_end().ends_with(b"}");
+        let alone = ends.then(|| serde_json::from_slice(line).ok()).flatten();
+        let alone = alone.filter(|value: &serde_json::Value| value.get("generation").is_some());
+        self.text.push(b'\n');
+        self.text.extend_from_slice(line);
+        let read = match (alone, ends.then(|| serde_json::from_slice(&self.text))) {
+            (Some(alone), _) => Err(Some(alone)),
+            (_, Some(Ok(value))) => Ok(value),
+            (_, Some(Err(error))) if !error.is_eof() => Err(None),
+            _ if self.text.len() > LINE_MOST => Err(None),
+            _ => return None,
+        };
+        self.text.clear();
+        Some(read)
+    }
+
+    /// It ends here; true if it had begun.
+    fn breaks_off(&mut self) -> bool {
+        !std::mem::take(&mut self.text).is_empty()
+    }
+}
+
 impl Watch {
     pub async fn keep(self) {
         let mut told = self.at.clone();
         let at = *told.borrow_and_update();
         let mut place = Place::new(at, self.after);
         let (mut open, mut former): (Option<Open>, Option<Open>) = (None, None);
+        let mut mend_at = None;
         loop {
             tokio::select! {
                 biased;
@@ -76,26 +146,47 @@
                     // new one has spoken. Asked from the beginning, since their versions are not alike.
                     former = former.or(open);
                     let at = *told.borrow_and_update();
-                    place = Place::new(at, 0);
+                    (place, mend_at) = (Place::new(at, 0), None);
                     open = Some(self.open(place.clone()));
                 }
-                // Guards against waiting twice for what a silent watch missed: until that is noticed, and then for this
-                // dispatcher's turn among all that ask. Once: a list that says nothing then either has too many callers.
+                // Guards against waiting twice for what was missed: until silence is noticed, and then for this
+                // dispatcher's turn among all that ask.
                 fault = ended(&mut open) => {
-                    if place.silent.take() && place.spoken.take() {
-                        tracing::info!("the list's watch fell silent; it is opened anew");
+                    let waited = matches!(&fault, Fault::Broken(error) if error.kind() == ErrorKind::TimedOut);
+                    if waited {
+                        tracing::info!("the list says nothing; it is asked anew");
                         open = Some(self.open(place.clone()));
-                        continue;
-                    }
-                    if !self.failing.replace(true) {
+                    } else if !self.failing.replace(true) {
                         tracing::warn!("the list's watch ended, the last list holds: {fault}");
                     }
-                    self.tray.call(|exchange| exchange.list_failed()).await;
+                    let known = self.known.take();
+                    let failed = move |exchange: &mut Exchange| {
+                        known.into_iter().for_each(|known| _ = exchange.known(known));
+                        if !waited {
+                            exchange.list_failed();
+                        }
+                    };
+                    self.tray.call(failed).await;
                 }
                 () = place.spoke.notified() => former = None,
                 _ = ended(&mut former) => {}
-                // Asked again while none has answered: that call is given up.
-                () = self.ask.notified() => open = Some(self.open(place.clone())),
+                // Guards against what a flaw kept from us until the watch happens to end. It is read on meanwhile.
+                () = place.flawed.notified() => {
+                    let pause_s = (MEND_S * 2f64.powi(place.flaws.get())).min(MEND_MOST_S);
+                    place.flaws.set((place.flaws.get() + 1).min(16));
+                    mend_at = Some(Instant::now() + Duration::from_secs_f64(self.turn_s + pause_s));
+                }
+                () = due(mend_at) => {
+                    mend_at = None;
+                    former = open.take().or(former);
+                    open = Some(self.open(place.clone()));
+                }
+                // A call that waits for its answer goes on: given up, it would lose its turn.
+                () = self.ask.notified() => {
+                    if open.is_none() {
+                        open = Some(self.open(place.clone()));
+                    }
+                }
             }
         }
     }
@@ -111,41 +202,61 @@
     }
 
     async fn lines(&self, place: &Place) -> Result<(), Fault> {
-        let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
+        let late = |_| std::io::Error::from(ErrorKind::TimedOut);
         let dial = timeout(Duration::from_secs_f64(DIAL_S), TcpStream::connect(place.at));
         let stream = dial.await.map_err(late)??;
         let mut wire = wire(stream, Watching::new(place.at.to_string()));
         wire.send(AskList { after: place.after.get() }).await?;
-        let (mut first, mut sound) = (true, true);
+        let (mut first, mut sound, mut indented) = (true, true, Indented::default());
         loop {
             let line = timeout(Duration::from_secs_f64(SILENT_S), next(&mut wire)).await;
-            let line = line.inspect_err(|_| place.silent.set(true)).map_err(late)?;
-            let Some(line) = line.transpose()? else { return Ok(()) };
-            place.spoken.set(true);
+            let Some(line) = line.map_err(late)?.transpose()? else { return Ok(()) };
             let mut told = Told::default();
-            if !line.trim_ascii().is_empty() {
-                let read = serde_json::from_slice(&line).map_err(|error| error.to_string());
-                match read.and_then(|value| Told::read(value, &self.names)) {
+            let beat = line.trim_ascii().is_empty();
+            if !beat {
+                let Some(read) = indented.add(&line) else { continue };
+                let broke_off = read.is_err();
+                let value = read.map_or_else(|alone| alone, Some).ok_or("it is broken".to_string());
+                match value.and_then(|value| Told::read(value, &self.names)) {
                     Ok(read) => told = read,
                     Err(why) => {
                         tracing::warn!("a line of the list is passed over: {why}");
                         told.damaged = true;
                     }
                 }
-                // Guards against a change lost with a bad line: the next watch asks from before it.
-                sound = (sound || told.whole) && !told.damaged;
-                if sound {
-                    place.after.set(told.generation);
-                    place.spoke.notify_one();
-                }
+                told.damaged |= broke_off;
+            } else if indented.breaks_off() {
+                tracing::warn!("a line of the list is passed over: it breaks off");
+                told.damaged = true;
             } else if !first {
                 continue;
             }
-            if std::mem::take(&mut first) && self.failing.take() {
+            first = false;
+            // Guards against a change lost with a bad line: the next watch asks from before it, and soon.
+            if sound && told.damaged {
+                place.flawed.notify_one();
+            }
+            sound = (sound || told.whole) && !told.damaged;
+            // Guards against late word of before: what it still names as ready may drain by now.
+            if !told.whole && told.generation < place.after.get() {
+                told.members.retain(|member| member.life != Life::Ready);
+            }
+            if sound && !beat {
+                place.flaws.set(0);
+                let before = if told.whole { 0 } else { place.after.get() };
+                place.after.set(told.generation.max(before));
+                place.spoke.notify_one();
+            }
+            if self.failing.take() {
                 tracing::info!("the list is watched again");
             }
             self.broken.into_iter().for_each(|broken| broken.hears(&mut told));
-            self.tray.call(move |exchange| exchange.listed(told)).await;
+            let known = self.known.take().filter(|_| !told.whole);
+            let listed = move |exchange: &mut Exchange| {
+                known.into_iter().for_each(|known| _ = exchange.known(known));
+                exchange.listed(told);
+            };
+            self.tray.call(listed).await;
         }
     }
 }
--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -150,6 +150,9 @@
         tray: tray.clone(),
         ask: ask_list.clone(),
         after: start.known.generation,
+        // An agent's word goes before the page's, from the first moment.
+        known: Cell::new(start.terms.asks_agent.then(|| std::mem::take(&mut start.known))),
+        turn_s: start.terms.ask_spread_s() * start.terms.me as f64 / start.terms.replicas as f64,
         failing: Cell::new(false),
         broken,
     };
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -188,6 +188,7 @@
         return Err("settings name no category".to_string());
     }
     // This protocol has one way to the list, a watch, whatever the deployment's was, and a 202.
+    terms.asks_agent = !terms.asks_for_list;
     terms.asks_for_list = true;
     terms.tells_taking = true;
     let probes_allowed = std::mem::replace(&mut terms.probes, false);
--- a/crates/sagetrail/tests/crossings/main.rs
+++ b/crates/sagetrail/tests/crossings/main.rs
@@ -5,3 +5,4 @@
 mod stage;
 
 mod attempts;
+mod watch;
--- a/crates/sagetrail/tests/sockets.rs
+++ b/crates/sagetrail/tests/sockets.rs
@@ -1,5 +1,6 @@
 //! Stories of the program on its sockets.
 mod operators;
+#[allow(dead_code)] // The crossings use more of it.
 mod stage;
 use stage::*;
 use std::net::TcpStream;
--- a/crates/sagetrail/tests/stage/mod.rs
+++ b/crates/sagetrail/tests/stage/mod.rs
@@ -77,6 +77,12 @@
     pub fn take(&self) {
         self.answer("202 Accepted", "");
     }
+    pub fn say(&self, bytes: &str) {
+        (&self.stream).write_all(bytes.as_bytes()).unwrap();
+    }
+    pub fn id(&self) -> &str {
+        self.message.header("req-id").unwrap_or_default()
+    }
     pub fn close(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).unwrap();
     }
@@ -99,9 +105,42 @@
     connections: Receiver<()>,
 }
 
+/// A runner to which no connection comes up until the test says: the queue of its listener is full.
+pub struct Late {
+    name: String,
+    pub at: SocketAddr,
+    listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn start(name: &str) -> Late {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let at = listener.local_addr().unwrap();
+        let mut queue = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
+            queue.push(stream);
+        }
+        Late { name: name.to_string(), at, listener, queue }
+    }
+    /// Lets connections come up: those asked for do at their system's next try.
+    pub fn open(self) -> Runner {
+        self.queue.iter().for_each(|_| drop(self.listener.accept().unwrap()));
+        Runner::serve(&self.name, self.listener)
+    }
+    pub fn entry(&self, life: &str) -> String {
+        entry(&self.name, self.at, life, 0)
+    }
+}
+
 impl Runner {
     pub fn start(name: &str) -> Runner {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Runner::serve(name, TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+    fn serve(name: &str, listener: TcpListener) -> Runner {
         let at = listener.local_addr().unwrap();
         let (give, got) = channel();
         let (count, connections) = channel();
@@ -161,7 +200,10 @@
 
 impl List {
     pub fn start() -> List {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        List::at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+    pub fn at(at: SocketAddr) -> List {
+        let listener = TcpListener::bind(at).unwrap();
         let at = listener.local_addr().unwrap();
         let (give, watches) = channel();
         spawn(move || {
@@ -191,6 +233,11 @@
     pub fn is_closed(&self) -> bool {
         is_closed(&self.stream)
     }
+    /// Whether it has ended by now.
+    pub fn has_ended(&self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+        matches!(self.stream.peek(&mut [0]), Ok(0))
+    }
     pub fn tell(&self, generation: u64, whole: bool, entries: &[String]) {
         let entries = entries.join(",");
         self.say(&format!(r#"{{"generation":{generation},"reset":{whole},"instances":[{entries}]}}"#));
@@ -225,11 +272,8 @@
     }
     /// Hands in a work item of a category; its id.
     pub fn hand_in(&mut self, category: &str, wait: &str) -> String {
-        let id = format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed));
-        self.send(&format!(
-            "POST /{category}?key=7f3a HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Kind: {category}\r\n\
-             Req-Deadline: {wait}\r\nContent-Length: 5\r\n\r\nwaves"
-        ));
+        let (id, text) = job(category, wait);
+        self.send(&text);
         id
     }
     pub fn read(&mut self) -> Option<Message> {
@@ -240,6 +284,16 @@
     }
 }
 
+/// A work item's request, and its id.
+pub fn job(category: &str, wait: &str) -> (String, String) {
+    let id = format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed));
+    let text = format!(
+        "POST /{category}?key=7f3a HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Kind: {category}\r\n\
+         Req-Deadline: {wait}\r\nContent-Length: 5\r\n\r\nwaves"
+    );
+    (id, text)
+}
+
 /// The program, started and ready, with its list and runners.
 pub struct Stage {
     pub child: Child,
@@ -374,7 +428,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, which: &str) {
+    pub fn signal(&self, which: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([which, &id]).status().unwrap().success());
     }
