A connection that ends is read to its end, and a client that left is heard of behind what it sent

Found by reading, each then forced on loopback: - An idle connection was dropped when it was its turn (spare_one, the idle timer, the shutdown): bytes that came meanwhile were unread and the close reset it. It now ends like one that answered: what is here already is a request like any, then a half-close, reading for a bounded time, the drop. Where its place is wanted it is read for 20 ms only. - After one pipelined request nothing was read while work waited, so a client that sent much and went was not noticed. Reading goes on; more than one request's length behind the next costs its sender the connection after that answer. - A malformed request read ahead ended the valid one in hand without an answer. It is answered after it. - The process ended while a request was half read or a connection was being closed: 'busy' counted from the whole request to its answer only. The end now waits, within its old bounds, for all that is unsettled.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,6 +1,7 @@
 //! What goes to and comes from clients and runners, decoded.
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::rc::Rc;
 
 #[derive(Debug)]
@@ -63,6 +64,8 @@
     /// The header lines that go on with it, its id's among them.
     pub headers: Bytes,
     pub body: Bytes,
+    /// Its client has gone.
+    pub gone: Rc<Cell<bool>>,
 }
 
 /// What a runner tells of a job.
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -87,7 +87,13 @@
 }
 
 fn take(exchange: &mut Exchange<Fake>, now: f64, id: &str, category: usize) {
-    let order = Order { id: id.into(), target: "/a".to_string(), headers: Default::default(), body: Default::default() };
+    let order = Order {
+        id: id.into(),
+        target: "/a".to_string(),
+        headers: Default::default(),
+        body: Default::default(),
+        gone: Default::default(),
+    };
     let job = Job { category, key: 0, expiry: 0.0, hint: 0.0, slots: 1.0, memory: 0.0 };
     exchange.at(now);
     exchange.take(order, job, 4.0, 1);
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side, and the runners' call-backs, which come to the same address.
 use crate::door::Door;
 use crate::handover::{Ask, Heard};
-use crate::http::{next, wire, Fault, Method, Request, Serving};
+use crate::http::{next, wire, Fault, Method, Request, Serving, BODY_MOST, HEAD_MOST};
 use crate::sockets::Tray;
 use crate::store::Store;
 use futures_util::{SinkExt, Stream};
@@ -9,7 +9,7 @@
 use sagetrail_policy::Job;
 use sagetrail_store::{Answer, Ended};
 use std::cell::Cell;
-use std::future::poll_fn;
+use std::future::{poll_fn, ready};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,7 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify, Semaphore};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::codec::Framed;
 
@@ -86,21 +86,47 @@
     }
 }
 
+/// What comes next on a connection.
+enum Come {
+    Request(Request),
+    /// One that cannot be read, or is never whole.
+    Fault(Fault),
+    /// Its client has closed it.
+    Gone,
+    /// It is this one's turn to be closed.
+    Close,
+}
+
+impl Come {
+    fn read(read: Option<Result<Request, Fault>>) -> Come {
+        match read {
+            Some(Ok(request)) => Come::Request(request),
+            Some(Err(fault)) => Come::Fault(fault),
+            None => Come::Gone,
+        }
+    }
+}
+
 async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
     let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
-    let mut ahead = None;
+    let mut ahead = Ahead::default();
     let mut news = false;
     loop {
-        let read = match ahead.take() {
-            Some(request) => Some(Ok(request)),
+        let come = match ahead.read.take() {
+            Some(read) => Come::read(Some(read)),
             None => request(&mut wire, fresh.take(), news, door).await,
         };
-        let (mut reply, open, keep) = match read {
-            None => return Ok(()),
-            Some(Ok(request)) => {
+        let unsettled = Counted::new(&door.unsettled);
+        let overrun = std::mem::take(&mut ahead.overrun);
+        let (mut reply, open, keep) = match come {
+            Come::Gone => return Ok(()),
+            // Guards against a reset over a request that crosses the close: it is read and left, and its client, who
+            // sees a plain end, sends it once more elsewhere.
+            Come::Close => return linger(wire, door.linger_s()).await,
+            Come::Request(request) => {
                 let _busy = Counted::new(&door.busy);
-                let keep = request.keep;
+                let keep = request.keep && !overrun;
                 news = request.target == NEWS;
                 let bare = request.method == Method::Head;
                 let Some((reply, open)) = answer(request, &mut wire, &mut ahead, door).await else {
@@ -108,7 +134,7 @@
                 };
                 (Reply { bare, ..reply }, open, keep)
             }
-            Some(Err(fault)) => {
+            Come::Fault(fault) => {
                 let Some(status) = fault.status() else { return Err(fault) };
                 (Reply::new(status, format!("{fault}\n")), None, false)
             }
@@ -121,36 +147,41 @@
         open.into_iter().for_each(|open| open.answered(status));
         drop(busy);
         if close {
-            return linger(wire).await;
+            return linger(wire, door.linger_s()).await;
         }
+        drop(unsettled);
     }
 }
 
-/// Waits for the next request; `None` when the connection is to end without a word.
-async fn request(
-    wire: &mut Wire, fresh: Option<Instant>, news: bool, door: &Door,
-) -> Option<Result<Request, Fault>> {
+/// Waits for the next request.
+async fn request(wire: &mut Wire, fresh: Option<Instant>, news: bool, door: &Door) -> Come {
     // Guards against shutting a new connection whose first request is under way: its client takes that for a
     // request lost, and sends nothing again, unlike on a connection that has served.
     let until = fresh.map(|opened| opened + Duration::from_secs_f64(FRESH_S));
     let come = match until {
-        Some(until) => timeout_at(until, begun(wire)).await.ok(),
+        Some(until) => {
+            let _unsettled = Counted::new(&door.unsettled);
+            timeout_at(until, begun(wire)).await.ok()
+        }
         None => None,
     };
     let come = match come {
-        Some(come) => come,
-        None => idle(wire, news, door).await?,
+        Some(come) => Some(come),
+        None => idle(wire, news, door).await,
     };
-    if let Some(read) = come {
-        return read;
-    }
-    match timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await {
-        Ok(read) => read,
-        Err(_) => Some(Err(Fault::Unfinished)),
+    match come {
+        None => Come::Close,
+        Some(Some(read)) => Come::read(read),
+        Some(None) => {
+            // Guards against an end of the process in the middle of a request.
+            let _unsettled = Counted::new(&door.unsettled);
+            let read = timeout(Duration::from_secs_f64(SLOW_S), next(wire)).await;
+            Come::read(read.unwrap_or(Some(Err(Fault::Unfinished))))
+        }
     }
 }
 
-/// Waits as one of the idle connections; `None` if it is this one's turn to be shut.
+/// Waits as one of the idle connections; `None` if it is this one's turn to be closed.
 async fn idle(wire: &mut Wire, news: bool, door: &Door) -> Option<Begun> {
     let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
     door.idle.borrow_mut().insert(stamp, close.clone());
@@ -163,7 +194,16 @@
         () = sleep(Duration::from_secs_f64(IDLE_S)) => None,
     };
     door.idle.borrow_mut().remove(&stamp);
-    come
+    if come.is_some() {
+        return come;
+    }
+    // What came in the same moment, and was not read yet, is a request like any.
+    yield_now().await;
+    tokio::select! {
+        biased;
+        come = begun(wire) => Some(come),
+        () = ready(()) => None,
+    }
 }
 
 /// What came first: nothing whole yet, or all that `next` says.
@@ -179,19 +219,53 @@
     .await
 }
 
-/// Ends a connection so that the answer is still read: says the end, then reads what was under way.
-pub async fn linger(wire: Wire) -> Result<(), Fault> {
+/// Ends a connection so that the answer is still read: says the end, then reads what was under way, for so long.
+pub async fn linger(wire: Wire, most_s: f64) -> Result<(), Fault> {
     let mut stream = wire.into_inner();
     stream.shutdown().await?;
     let mut rest = [0; 1024];
     let read = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
-    let _ = timeout(Duration::from_millis(500), read).await;
+    let _ = timeout(Duration::from_secs_f64(most_s), read).await;
     Ok(())
 }
 
+/// What came while an answer was awaited: the next request, and whether there was more behind it than is kept.
+#[derive(Default)]
+struct Ahead {
+    read: Option<Result<Request, Fault>>,
+    overrun: bool,
+}
+
+impl Ahead {
+    /// Reads on while an answer is awaited; ends when the client has gone. Guards against one that sends much at once and
+    /// goes: unread bytes would hide its leaving. What is behind the next request stays in the wire's own buffer, as
+    /// much as one request may be long; who sends more has its connection closed after the next answer.
+    async fn until_gone(&mut self, wire: &mut Wire) {
+        loop {
+            if self.read.is_none() {
+                match next(wire).await {
+                    None | Some(Err(Fault::Broken(_))) => return,
+                    // One that cannot be read says nothing about the one that waits.
+                    read => self.read = read,
+                }
+            } else if wire.read_buffer().len() > HEAD_MOST + BODY_MOST {
+                wire.read_buffer_mut().clear();
+                self.overrun = true;
+            } else {
+                let mut more = std::mem::take(wire.read_buffer_mut());
+                let read = wire.get_mut().read_buf(&mut more).await;
+                *wire.read_buffer_mut() = more;
+                if !matches!(read, Ok(1..)) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// The answer to a request, and the work item that it ends; `None` if its client has gone.
 async fn answer(
-    request: Request, wire: &mut Wire, ahead: &mut Option<Request>, door: &Door,
+    request: Request, wire: &mut Wire, ahead: &mut Ahead, door: &Door,
 ) -> Option<(Reply, Option<Open>)> {
     let path = request.target.split('?').next().unwrap_or_default();
     let looks = matches!(request.method, Method::Get | Method::Head);
@@ -299,11 +373,13 @@
 struct Waiting<'a> {
     tray: &'a Tray,
     id: Option<Rc<str>>,
+    gone: Rc<Cell<bool>>,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
+            self.gone.set(true);
             self.tray.put(move |exchange| exchange.left(&id));
         }
     }
@@ -367,7 +443,7 @@
 
 /// Hands a work item in and waits for its answer, reading on: a client that closes has left.
 async fn work(
-    request: Request, job: Job, wait_s: f64, wire: &mut Wire, ahead: &mut Option<Request>, door: &Door,
+    request: Request, job: Job, wait_s: f64, wire: &mut Wire, ahead: &mut Ahead, door: &Door,
 ) -> Option<Reply> {
     let claimed = match record(&request, &job, door).await {
         Ok(claimed) => claimed,
@@ -375,26 +451,22 @@
     };
     let id: Rc<str> = request.id.unwrap_or_default().into();
     let Request { target, headers, body, .. } = request;
-    let order = Order { id: id.clone(), target, headers, body };
-    let mut waiting = Waiting { tray: &door.tray, id: Some(id) };
+    let gone = Rc::new(Cell::new(false));
+    let order = Order { id: id.clone(), target, headers, body, gone: gone.clone() };
+    let mut waiting = Waiting { tray: &door.tray, id: Some(id), gone };
     let (tell, mut told) = oneshot::channel();
     door.tray.call(move |exchange| exchange.take(order, job, wait_s, tell)).await;
-    loop {
-        tokio::select! {
-            biased;
-            reply = &mut told => {
-                waiting.id = None;
-                let reply = reply.unwrap_or_else(|_| Reply::new(502, "written off\n"));
-                claimed.into_iter().for_each(|claim| claim.ended(&reply));
-                return Some(reply);
-            }
-            read = next(wire), if ahead.is_none() => match read {
-                Some(Ok(request)) => *ahead = Some(request),
-                _ => {
-                    drop(told);
-                    return None;
-                }
-            },
+    tokio::select! {
+        biased;
+        reply = &mut told => {
+            waiting.id = None;
+            let reply = reply.unwrap_or_else(|_| Reply::new(502, "written off\n"));
+            claimed.into_iter().for_each(|claim| claim.ended(&reply));
+            Some(reply)
+        }
+        () = ahead.until_gone(wire) => {
+            drop(told);
+            None
         }
     }
 }
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -91,7 +91,7 @@
     };
     let sent = timeout(within, wire.send(Reply { close: true, ..reply })).await;
     sent.map_err(|_| Fault::Unfinished)??;
-    linger(wire).await
+    linger(wire, 0.5).await
 }
 
 /// The answer once the other process has heard it too, if there is one.
--- a/crates/sagetrail/src/door.rs
+++ b/crates/sagetrail/src/door.rs
@@ -42,6 +42,8 @@
     pub open: Cell<usize>,
     /// Connections with a request in hand.
     pub busy: Cell<usize>,
+    /// Those that a process that ends has to wait for: with a request under way, in hand, or answered and not closed yet.
+    pub unsettled: Cell<usize>,
     /// The idle ones, longest idle first; ringing one closes it.
     pub idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
     pub stamps: Cell<u64>,
@@ -54,6 +56,15 @@
         longest.map(|(_, close)| close.notify_one()).is_some()
     }
 
+    /// How long a connection that is closed is read for what was under way; hardly, where its place is wanted.
+    pub fn linger_s(&self) -> f64 {
+        if self.open.get() >= self.most {
+            0.02
+        } else {
+            0.5
+        }
+    }
+
     /// Whether a connection is one of those to let go; one that brings runners' news only at the end.
     pub fn sends_away(&self, news: bool) -> bool {
         !news || self.ending.get()
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -12,7 +12,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// Several times what any client or runner here sends.
-const HEAD_MOST: usize = 16 << 10;
+pub const HEAD_MOST: usize = 16 << 10;
 const HEADERS_MOST: usize = 64;
 /// The protocol's bound on bodies.
 pub const BODY_MOST: usize = 64 << 10;
--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -203,6 +203,7 @@
         more,
         open: Cell::new(0),
         busy: Cell::new(0),
+        unsettled: Cell::new(0),
         idle: RefCell::default(),
         stamps: Cell::new(0),
     });
@@ -309,7 +310,7 @@
     door.closing.send_replace(true);
     // Guards against a restart in the middle of an upgrade: to the platform both are one dispatcher, which has
     // ended when this process has, and what the one before it still holds is lost.
-    let unsettled = || door.busy.get() > 0 || door.handover.preceded();
+    let unsettled = || door.unsettled.get() > 0 || door.handover.preceded();
     while clock.now() < told + COMING_S || unsettled() && clock.now() < end_at + 0.2 {
         sleep(Duration::from_millis(10)).await;
     }
--- /dev/null
+++ b/crates/sagetrail/tests/crossings/clients.rs
@@ -0,0 +1,96 @@
+//! Clients: what they send too early, and how their leaving is heard of.
+use crate::stage::*;
+use std::net::Shutdown;
+
+#[test]
+fn a_request_read_ahead_that_cannot_be_read_leaves_the_one_in_hand_its_answer() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    let (id, text) = job("rerun", "6000m");
+    client.send(&format!("{text}no request at all\r\n\r\n"));
+    stage.runners[0].next().take();
+    stage.news(&id, "s-0", r#""done","result":"a""#);
+    assert_eq!(client.answer().body, "a");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (400, Some("close")));
+    assert!(client.read().is_none());
+}
+
+#[test]
+fn a_client_that_sends_much_and_goes_has_left() {
+    let stage = Stage::start(1);
+    for more in [1, 30, 3000] {
+        let mut client = stage.client();
+        client.hand_in("rerun", "9000m");
+        let handed = stage.runners[0].next();
+        for _ in 0..more {
+            client.send(&job("rerun", "9000m").1);
+        }
+        drop(client);
+        assert!(handed.is_closed(), "with {more} more behind it");
+        stage.runners[0].nothing(100);
+    }
+}
+
+#[test]
+fn a_client_that_says_the_end_has_left() {
+    let stage = Stage::start(1);
+    let mut client = stage.client();
+    client.hand_in("rerun", "9000m");
+    let handed = stage.runners[0].next();
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(handed.is_closed());
+    assert!(client.read().is_none());
+}
+
+#[test]
+fn a_flood_behind_a_request_costs_its_sender_the_connection_and_nobody_else() {
+    let stage = Stage::start(1);
+    let (mut floods, mut other) = (stage.client(), stage.client());
+    let id = floods.hand_in("rerun", "9000m");
+    let runner = &stage.runners[0];
+    runner.next().take();
+    let (second, text) = job("rerun", "9000m");
+    floods.send(&text);
+    for _ in 0..40 {
+        floods.send(&"GET /health/live HTTP/1.1\r\n\r\n".repeat(1000));
+    }
+    let theirs = other.hand_in("once", "6000m");
+    runner.next().take();
+    stage.news(&theirs, "s-0", r#""done","result":"other""#);
+    assert_eq!(other.answer().body, "other");
+    stage.news(&id, "s-0", r#""done","result":"first""#);
+    assert_eq!(floods.answer().body, "first");
+    runner.next().take();
+    stage.news(&second, "s-0", r#""done","result":"second""#);
+    let answer = floods.answer();
+    assert_eq!((answer.body.as_str(), answer.header("connection")), ("second", Some("close")));
+    assert!(floods.read().is_none());
+}
+
+#[test]
+fn many_that_leave_while_their_work_is_held_cost_no_attempt() {
+    let stage = Stage::start(1);
+    let runner = &stage.runners[0];
+    let mut stays = stage.client();
+    let id = stays.hand_in("once", "9000m");
+    runner.next().take();
+    let mut held: Vec<Client> = (0..40).map(|_| stage.client()).collect();
+    held.iter_mut().for_each(|client| _ = client.hand_in("once", "9000m"));
+    let mut out: Vec<Handed> = std::iter::from_fn(|| runner.poll(300)).collect();
+    assert!(out.len() < 40, "some are held");
+    out.drain(..).for_each(|handed| handed.take());
+    // The word that makes room and all who leave are there at once when the process goes on.
+    let mut news = stage.client();
+    stage.signal("-STOP");
+    let body = format!(r#"{{"id":"{id}","from":"s-0","state":"done","result":"a"}}"#);
+    news.send(&format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    drop(held);
+    stage.signal("-CONT");
+    assert_eq!(news.answer().status(), 204);
+    assert_eq!(stays.answer().body, "a");
+    while let Some(handed) = runner.poll(400) {
+        assert!(handed.message.first.starts_with("DELETE"), "{}", handed.message.first);
+        handed.answer("204 No Content", "");
+    }
+}
--- a/crates/sagetrail/tests/crossings/main.rs
+++ b/crates/sagetrail/tests/crossings/main.rs
@@ -5,4 +5,7 @@
 mod stage;
 
 mod attempts;
+mod clients;
+mod idle;
+mod shutdown;
 mod watch;
