What was true when a connection was asked for is looked at again at an attempt's first byte

Found by reading, each then forced on loopback: - A connection that came up late began an attempt for a client that had left (where giving up is not allowed), at an address the runner had left behind, or after the window in which runners drop a repeat. All of it is asked at the first byte now, in one place, after one more turn in which all sockets are heard. - A second answer that came some milliseconds late was taken for the next request's on that connection. A late 'declined' so proved that an attempt never ran which then ran: a second effect. An answer other than 202 within 0.1 s of the one before is held for 0.1 s, and alone it proves nothing (Unsure). - Half a line on a resting connection stayed in its buffer and spoilt the next answer. Giving up now half-closes and reads for 0.1 s; a 202 is answered with a DELETE first. - A runner's word on an earlier attempt there, told once more, ended the next one at the same runner: 'returned' twice sent at-most-once work out again while it ran. It is given up by word first and counts as one that may have run.

--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -132,6 +132,8 @@
     pub expiry: f64,
     pub made: u16,
     pub out: Option<Out<E>>,
+    /// The runners that an earlier attempt was written to: their word may still be about that.
+    pub before: Vec<usize>,
 }
 
 /// In place of a hand-off's number in the timers: the work item's own expiry.
@@ -221,16 +223,16 @@
         self.now
     }
 
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64) {
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, begin_by: f64) {
         let (sent, drop_at) = (self.now, drop_at.min(self.end_at - LEAD_S));
         let Some(taken) = self.taken(wi) else { return };
         let (no, category) = (taken.made, taken.category);
         taken.made += 1;
         let ticket = Ticket { wi, serial: taken.serial, no };
-        let Order { target, headers, body, .. } = &taken.order;
-        let (target, headers, body) = (target.clone(), headers.clone(), body.clone());
-        let spend_by = self.outside.spend_by(sent, runner, category);
-        let message = Outgoing::Work { target, headers, wait_s: 0.0, spend_by, body };
+        let Order { target, headers, body, gone, .. } = &taken.order;
+        let (target, headers, body, gone) = (target.clone(), headers.clone(), body.clone(), gone.clone());
+        let begin_by = begin_by.min(self.outside.spend_by(sent, runner, category));
+        let message = Outgoing::Work { target, headers, wait_s: 0.0, begin_by, gone, body };
         self.outside.goes(sent, no > 0);
         self.load.sends(category, true);
         let whole = Rc::new(Cell::new(false));
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -146,7 +146,8 @@
         self.desk.load.takes(category, true);
         self.desk.outside.took(now, category);
         let answer = Some(answer);
-        self.desk.taken[place] = Some(Taken { serial, category, order, answer, expiry, made: 0, out: None });
+        self.desk.taken[place] =
+            Some(Taken { serial, category, order, answer, expiry, made: 0, out: None, before: Vec::new() });
     }
 
     /// The process is to end: all that is out is dropped a little before, so that what may run again can
@@ -178,6 +179,14 @@
             taken.answer = None;
             wi.left(&mut self.dispatcher, &mut self.desk);
         }
+        // Guards against an attempt that begins once nobody waits: where giving up is not allowed, one whose connection
+        // is still coming up is held back all the same.
+        let Some(taken) = self.desk.taken(wi).filter(|taken| taken.answer.is_none()) else { return };
+        let serial = taken.serial;
+        if let Some(out) = taken.out.as_ref().filter(|out| !out.off && !out.whole.get()) {
+            let ticket = Ticket { wi, serial, no: out.no };
+            self.desk.call_off(ticket, None);
+        }
     }
 
     // ---- the runners ----
@@ -212,9 +221,22 @@
                 self.desk.answer(wi, Reply::new(200, result));
                 self.ended(ticket, Outcome::Finished);
             }
-            State::Failed => self.ended(ticket, Outcome::Error),
-            State::Returned => self.ended(ticket, Outcome::Full),
-            State::Lost => self.ended(ticket, Outcome::Reset),
+            State::Failed => self.ended_by_word(ticket, Outcome::Error),
+            State::Returned => self.ended_by_word(ticket, Outcome::Full),
+            State::Lost => self.ended_by_word(ticket, Outcome::Reset),
+        }
+    }
+
+    /// A runner says how an attempt ended. Guards against its word on an earlier one there, told late or once more:
+    /// this one may run on, so it is given up first, and counts as one that may have run.
+    fn ended_by_word(&mut self, ticket: Ticket, outcome: Outcome) {
+        let runner = self.desk.out(ticket).map(|out| out.runner);
+        let taken = self.desk.taken(ticket.wi);
+        let earlier = taken.is_some_and(|taken| taken.before.iter().any(|before| Some(*before) == runner));
+        match earlier {
+            false => self.ended(ticket, outcome),
+            true if self.desk.may_cancel => self.desk.call_off(ticket, Some(Outcome::Reset)),
+            true => {}
         }
     }
 
@@ -249,7 +271,8 @@
                 }
                 return ticket.wi.accepted(&mut self.dispatcher, self.desk.now, ticket.no);
             }
-            Ok(Answer { status: 503 | 504, declined: true, .. }) => Outcome::Full,
+            Ok(Answer { status: 503 | 504, declined: true, doubtful: false, .. }) => Outcome::Full,
+            Ok(Answer { status: 503 | 504, declined: true, .. }) => Outcome::Unsure,
             Ok(_) => Outcome::Error,
             Err(Broken::Unsent) => Outcome::Moot,
             Err(Broken::Unreached) => Outcome::NoConnection,
@@ -291,6 +314,9 @@
         let Some(taken) = self.desk.taken(wi) else { return };
         let category = taken.category;
         let Some(out) = taken.out.take() else { return };
+        if out.whole.get() {
+            taken.before.push(out.runner);
+        }
         self.desk.load.sends(category, false);
         if out.started {
             self.desk.load.starts(out.runner, false);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -23,12 +23,13 @@
 /// A work item's request as it goes on, or the giving up of one.
 #[derive(Clone, Debug)]
 pub enum Outgoing {
-    /// No first byte of it goes out from `spend_by` on.
+    /// No first byte of it goes out from `begin_by` on, nor once its client has `gone`.
     Work {
         target: String,
         headers: Bytes,
         wait_s: f64,
-        spend_by: f64,
+        begin_by: f64,
+        gone: Rc<Cell<bool>>,
         body: Bytes,
     },
     GiveUp {
@@ -41,6 +42,8 @@
     pub status: u16,
     /// The runner says that it never began.
     pub declined: bool,
+    /// It came so soon after another on its connection that it may be one more to that.
+    pub doubtful: bool,
     pub keep: bool,
 }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -554,7 +554,8 @@
         work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         // Guards against clocks that differ: the client may wait longer than was told, and be answered then.
-        host.hand_off(Wi(w), r, work.job.expiry + self.terms.expiry_off_s);
+        let drop_at = work.job.expiry + self.terms.expiry_off_s;
+        host.hand_off(Wi(w), r, drop_at, self.repeat_by(w));
     }
 
     // ---- room ----
@@ -694,7 +695,7 @@
                 self.weigh(ho.runner, now, if run / expected > slow { 1.3 } else { -0.5 });
                 self.served(now, ho.runner, job.key);
             }
-            Outcome::Full => {
+            Outcome::Full | Outcome::Unsure => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
                 (runner.free, runner.reported, runner.refused) = (0.0, now, now);
                 // Guards against a runner full of others' work, or hung with a full queue: a mild bad sign.
@@ -787,14 +788,14 @@
 
     fn may_go(&self, w: u32, r: usize, now: f64) -> bool {
         let work = &self.works[w as usize];
-        let Some((since, first)) = work.ran else { return true };
+        let Some((_, first)) = work.ran else { return true };
         let category = self.category(w);
         let (a, b) = (&self.runners[first].at, &self.runners[r].at);
         match category.repeat {
             Repeat::Rerunnable => true,
             Repeat::Exclusive => false,
             Repeat::Ticketed(scope) => {
-                now < since + category.window_s - 0.05
+                now < self.repeat_by(w)
                     && match scope {
                         Scope::All => true,
                         Scope::Zone => a.zone == b.zone,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -695,6 +695,16 @@
         &self.terms.categories[self.works[w as usize].job.category]
     }
 
+    /// Until when its next attempt may begin, where it may have run and runners drop repeats for a while only. 50 ms:
+    /// the way there, and a moment in which this process had no core.
+    pub(crate) fn repeat_by(&self, w: u32) -> f64 {
+        let category = self.category(w);
+        match (self.works[w as usize].ran, category.repeat) {
+            (Some((since, _)), Repeat::Ticketed(_)) => since + category.window_s - 0.05,
+            _ => f64::INFINITY,
+        }
+    }
+
     pub(crate) fn of_kind(&self, w: u32, r: usize) -> bool {
         self.category(w).kind.is_none_or(|kind| kind == self.runners[r].at.kind)
     }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -144,6 +144,8 @@
     Stale,
     Cancelled,
     Moot,
+    /// It said that it is full, perhaps to an earlier request.
+    Unsure,
 }
 
 impl Outcome {
@@ -155,7 +157,8 @@
 /// What the decisions ask of whoever carries them out. Times are seconds on the batch's clock.
 pub trait Host {
     fn now(&self) -> f64;
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64);
+    /// Given up at `drop_at`; never begun from `begin_by` on.
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, begin_by: f64);
     fn defer(&mut self, wi: Wi, come_back_s: f64);
     fn write_off(&mut self, wi: Wi);
     fn cancel(&mut self, wi: Wi, ho: u16);
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -24,7 +24,7 @@
     fn now(&self) -> f64 {
         self.now
     }
-    fn hand_off(&mut self, wi: Wi, runner: usize, _: f64) {
+    fn hand_off(&mut self, wi: Wi, runner: usize, _: f64, _: f64) {
         self.asked.push(HandOff(wi, runner));
     }
     fn defer(&mut self, wi: Wi, come_back_s: f64) {
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write;
 use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed};
@@ -381,15 +382,24 @@
 
 // ---- what goes to runners and what they answer ----
 
-#[derive(Default)]
 pub struct Calling {
-    host: String,
+    at: SocketAddr,
     reading: Option<(Answer, Body)>,
 }
 
 impl Calling {
-    pub fn new(host: String) -> Self {
-        Calling { host, reading: None }
+    pub fn new(at: SocketAddr) -> Self {
+        Calling { at, reading: None }
+    }
+
+    /// Where the connection leads.
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    /// Nothing of an answer has come.
+    pub fn between(&self) -> bool {
+        self.reading.is_none()
     }
 }
 
@@ -397,7 +407,7 @@
     type Error = Fault;
 
     fn encode(&mut self, message: Outgoing, dst: &mut BytesMut) -> Result<(), Fault> {
-        let host = &self.host;
+        let host = self.at;
         match message {
             Outgoing::Work { target, headers, wait_s, body, .. } => {
                 let wait = (wait_s * 1e3).max(0.0) as u64;
@@ -436,7 +446,7 @@
         let keep = said.keeps(head.version) && !matches!(framing, Framing::UntilClosed);
         src.advance(length);
         if !(100..200).contains(&status) {
-            return Ok(Some((Answer { status, declined, keep }, Body::new(framing, most)?)));
+            return Ok(Some((Answer { status, declined, doubtful: false, keep }, Body::new(framing, most)?)));
         }
     }
 }
--- a/crates/sagetrail/src/runners.rs
+++ b/crates/sagetrail/src/runners.rs
@@ -1,21 +1,29 @@
 //! The runners' side: connections, and one errand at a time on each.
 use crate::clock::Clock;
-use crate::http::{next, wire, Calling};
-use futures_util::SinkExt;
+use crate::http::{next, wire, Calling, Fault};
+use futures_util::{SinkExt, Stream};
 use sagetrail_core::{Answer, Broken, Figures, Gate, Outgoing};
 use std::cell::{Cell, RefCell};
-use std::future::{pending, ready};
+use std::future::{pending, poll_fn, ready};
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tokio_util::codec::Framed;
 
 type Wire = Framed<TcpStream, Calling>;
 
+/// For so long after an answer, or after giving up by closing a connection, another may still be on its way: some ten
+/// times what it takes across zones.
+const CROSSING_S: f64 = 0.1;
+
 /// A runner, as far as sockets go.
 pub struct Runner {
     pub gate: Rc<Gate>,
@@ -109,30 +117,37 @@
         (Errand { message, stop: Some(stop), until, ending }, stopper)
     }
 
-    /// Writes the message and waits for the answer; true if the connection can carry another.
-    async fn carry(&mut self, wire: &mut Wire, runner: &Runner, pool: &Pool, rested: bool) -> bool {
+    /// What forbids that it begins now, though it did not when its connection was asked for.
+    fn held_back(&self, runner: &Runner, at: SocketAddr, now: f64) -> Option<Broken> {
+        let Outgoing::Work { begin_by, gone, .. } = &self.message else { return None };
+        let gate = &runner.gate;
+        match () {
+            // Guards against a runner told to drain while its connection was coming up.
+            () if now >= gate.shut_at.get() => Some(Broken::Unreached),
+            // Guards against one taken out by hand meanwhile, or that has moved to another address; a client that has
+            // left; the end of a part of a budget, of the time in which its runners drop a repeat, of its own.
+            () if gate.out.get() || gate.address.get() != at || gone.get() => Some(Broken::Unsent),
+            () if now >= *begin_by || now >= self.until => Some(Broken::Unsent),
+            () => None,
+        }
+    }
+
+    /// Writes the message and waits for the answer; true if the connection can carry another. `rested`: since when it
+    /// has, after an earlier answer.
+    async fn carry(
+        &mut self, wire: &mut Wire, runner: &Runner, pool: &Pool, rested: Option<Instant>,
+    ) -> bool {
         let now = pool.clock.now();
         let mut message = self.message.clone();
         let hands_off = matches!(message, Outgoing::Work { .. });
-        if let Outgoing::Work { wait_s, spend_by, .. } = &mut message {
-            // Guards against a runner taken out by hand while its connection was coming up.
-            if runner.gate.out.get() {
-                self.ending.tell(Err(Broken::Unsent));
-                return false;
-            }
-            // Guards against a runner told to drain while its connection was coming up.
-            if now >= runner.gate.shut_at.get() {
-                self.ending.tell(Err(Broken::Unreached));
-                return true;
-            }
-            // Guards against a part of a budget that ended while this process was paused, or its connection came
-            // up: by then another may hold it.
-            if now >= *spend_by {
-                self.ending.tell(Err(Broken::Unsent));
-                return true;
-            }
+        if let Some(why) = self.held_back(runner, wire.codec().at(), now) {
+            self.ending.tell(Err(why));
+            return !runner.gate.out.get();
+        }
+        if let Outgoing::Work { wait_s, .. } = &mut message {
             *wait_s = self.until - now;
         }
+        let soon = rested.is_some_and(|since| since.elapsed().as_secs_f64() < CROSSING_S);
         let whole = self.ending.whole.clone();
         let exchanged = async {
             wire.send(message).await.map_err(|_| Broken::Unreached)?;
@@ -140,47 +155,96 @@
             if hands_off {
                 pool.figures.relays();
             }
-            match next(wire).await {
-                Some(Ok(answer)) => Ok(answer),
-                _ if rested => {
+            let answer = match next(wire).await {
+                Some(Ok(answer)) => answer,
+                // Not one byte came: it may have been dead before.
+                None | Some(Err(Fault::Broken(_))) if rested.is_some() && !stirs(wire) => {
                     // Guards against one dead connection after another: the other idle ones rested longer.
                     runner.drop_idle();
-                    Err(Broken::Stale)
+                    return Err(Broken::Stale);
                 }
-                _ => Err(Broken::Unanswered),
+                _ => return Err(Broken::Unanswered),
+            };
+            if !soon || answer.status == 202 {
+                return Ok(answer);
+            }
+            // Guards against a second answer to the request before taken for one to this: this one's own would follow,
+            // and until it does nothing proves that it never ran.
+            match timeout(Duration::from_secs_f64(CROSSING_S), next(wire)).await {
+                Ok(Some(Ok(own))) => Ok(Answer { keep: false, ..own }),
+                _ => Ok(Answer { keep: false, doubtful: true, ..answer }),
             }
         };
-        tokio::pin!(exchanged);
-        let mut ended = tokio::select! {
-            biased;
-            ended = &mut exchanged => Some(ended),
-            () = async { tokio::select! {
-                () = stopped(&mut self.stop) => {}
-                () = pool.clock.sleep_until(self.until) => {}
-            }} => None,
-        };
-        if ended.is_none() {
-            // Guards against giving up, by closing the connection, what its runner has taken: the answer may be here
-            // and not read yet, as long as the sockets were not asked in this turn.
-            yield_now().await;
-            ended = tokio::select! {
+        let ended = {
+            tokio::pin!(exchanged);
+            let ended = tokio::select! {
                 biased;
                 ended = &mut exchanged => Some(ended),
-                () = ready(()) => None,
+                () = async { tokio::select! {
+                    () = stopped(&mut self.stop) => {}
+                    () = pool.clock.sleep_until(self.until) => {}
+                }} => None,
             };
-        }
-        let ended = ended.unwrap_or_else(|| {
-            // Guards against a machine that vanished: its other connections stand open and silent too, and only a
-            // new one tells.
-            runner.drop_idle();
-            Err(self.ending.broken(Broken::Unsent))
-        });
+            match ended {
+                Some(ended) => Some(ended),
+                None => {
+                    // Guards against giving up, by closing the connection, what its runner has taken: the answer may be
+                    // here and not read yet, as long as the sockets were not asked in this turn.
+                    yield_now().await;
+                    tokio::select! {
+                        biased;
+                        ended = &mut exchanged => Some(ended),
+                        () = ready(()) => None,
+                    }
+                }
+            }
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                // Guards against a machine that vanished: its other connections stand open and silent too, and only a
+                // new one tells.
+                runner.drop_idle();
+                match hands_off && self.ending.whole.get() {
+                    true => given_up(wire).await,
+                    false => Err(self.ending.broken(Broken::Unsent)),
+                }
+            }
+        };
         let keep = ended.as_ref().is_ok_and(|answer| answer.keep);
         self.ending.tell(ended);
         keep
     }
 }
 
+/// Gives up by closing, and hears what crosses that. Guards against a second copy beside one whose 202 was on its way:
+/// its runner has to be told by word.
+async fn given_up(wire: &mut Wire) -> Result<Answer, Broken> {
+    let closed = wire.get_mut().shutdown().await.is_ok();
+    let crossing = timeout(Duration::from_secs_f64(CROSSING_S), next(wire));
+    match closed {
+        true => match crossing.await {
+            Ok(Some(Ok(answer))) => Ok(Answer { keep: false, ..answer }),
+            _ => Err(Broken::Unanswered),
+        },
+        false => Err(Broken::Unanswered),
+    }
+}
+
+/// Something has come, if only a part of an answer.
+fn stirs(wire: &Wire) -> bool {
+    !wire.read_buffer().is_empty() || !wire.codec().between()
+}
+
+/// Ends with the first byte that comes on a connection at rest, or with its end.
+async fn stray(wire: &mut Wire) {
+    poll_fn(|cx| match Pin::new(&mut *wire).poll_next(cx) {
+        Poll::Pending if !stirs(wire) => Poll::Pending,
+        _ => Poll::Ready(()),
+    })
+    .await
+}
+
 /// Ends when the exchange says stop; never, if it has lost interest. Guards against asking a second time, on the
 /// connection, what was told once while that came up: a panic, and the runner's answer lost.
 async fn stopped(stop: &mut Option<oneshot::Receiver<()>>) {
@@ -206,7 +270,7 @@
     }
 }
 
-async fn open(pool: &Pool, runner: &Runner) -> Result<(TcpStream, OwnedSemaphorePermit), Broken> {
+async fn open(pool: &Pool, at: SocketAddr) -> Result<(TcpStream, OwnedSemaphorePermit), Broken> {
     let within = Duration::from_secs_f64(pool.dial_s);
     let permit = match pool.permits.clone().try_acquire_owned() {
         Ok(permit) => permit,
@@ -217,23 +281,21 @@
             freed.ok().and_then(Result::ok).ok_or(Broken::Unsent)?
         }
     };
-    match timeout(within, TcpStream::connect(runner.gate.address.get())).await {
+    match timeout(within, TcpStream::connect(at)).await {
         Ok(Ok(stream)) => Ok((stream, permit)),
         _ => Err(Broken::Unreached),
     }
 }
 
 async fn dial(pool: Rc<Pool>, runner: Rc<Runner>, mut errand: Errand) {
+    let at = runner.gate.address.get();
     let opened = tokio::select! {
         biased;
         () = stopped(&mut errand.stop) => Err(Broken::Unsent),
-        opened = open(&pool, &runner) => opened,
+        opened = open(&pool, at) => opened,
     };
     match opened {
-        Ok((stream, permit)) => {
-            let wire = wire(stream, Calling::new(runner.gate.address.get().to_string()));
-            serve(pool, runner, wire, permit, errand).await;
-        }
+        Ok((stream, permit)) => serve(pool, runner, wire(stream, Calling::new(at)), permit, errand).await,
         Err(broken) => errand.ending.tell(Err(broken)),
     }
 }
@@ -242,11 +304,30 @@
 async fn serve(
     pool: Rc<Pool>, runner: Rc<Runner>, mut wire: Wire, _permit: OwnedSemaphorePermit, mut errand: Errand,
 ) {
-    let address = runner.gate.address.get();
-    let mut rested = false;
-    while errand.carry(&mut wire, &runner, &pool, rested).await && address == runner.gate.address.get() {
+    let mut rested = None;
+    loop {
+        // Guards against beginning on what was true a turn ago: all sockets are asked first, so that a client that has
+        // left, a list that has spoken and a runner that has closed are heard of.
+        yield_now().await;
+        if rested.is_some() {
+            let elsewhere = tokio::select! {
+                biased;
+                () = stray(&mut wire) => true,
+                () = ready(()) => false,
+            };
+            if elsewhere {
+                // Nothing of it has been written.
+                spawn_local(run(pool, runner.clone(), errand));
+                return;
+            }
+        }
+        if !errand.carry(&mut wire, &runner, &pool, rested).await
+            || wire.codec().at() != runner.gate.address.get()
+        {
+            return;
+        }
         drop(errand);
-        rested = true;
+        rested = Some(Instant::now());
         let (idle, mut rest) = oneshot::channel();
         {
             let mut resting = runner.idle.borrow_mut();
@@ -257,7 +338,7 @@
         errand = tokio::select! {
             biased;
             // An errand already laid in goes elsewhere: nothing of it has been written.
-            _ = next(&mut wire) => {
+            () = stray(&mut wire) => {
                 rest.close();
                 if let Ok(errand) = rest.try_recv() {
                     spawn_local(run(pool, runner.clone(), errand));
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -60,7 +60,7 @@
     fn now(&self) -> f64 {
         self.now
     }
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64) {
+    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, _: f64) {
         let drop_at = micros(drop_at).to_le_bytes();
         let fields: [&[u8]; 3] = [&self.ids.client_id(wi), &self.ids.addresses[runner], &drop_at];
         self.reply.act(10, self.instance, &fields);
