--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -245,7 +245,9 @@
         two_at_once: start.two_at_once,
         may_cancel: start.terms.may_cancel,
     };
-    let dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
+    let mut dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
+    // Guards against a budget spent twice: what a process before this one sent to cold runners just now, nobody knows.
+    dispatcher.leave_cold(clock.now(), false);
     let mut exchange = Exchange::new(dispatcher, outside, parts, clock.now());
     let former = match &meeting {
         Some(meeting) => meeting.find().await,
--- a/crates/sagetrail/tests/crossings/attempts.rs
+++ b/crates/sagetrail/tests/crossings/attempts.rs
@@ -229,3 +229,14 @@
     assert_eq!(client.answer().status(), 502, "it may have run this time");
     runner.nothing(1300);
 }
+
+#[test]
+fn a_new_process_sends_nothing_to_a_cold_runner_until_what_went_before_is_past() {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    let stage =
+        Stage::of(1, 1024, |page| page.replace(r#""startedAtMs":0"#, &format!(r#""startedAtMs":{now}"#)));
+    let mut client = stage.client();
+    client.hand_in("rerun", "9000m");
+    stage.runners[0].nothing(600);
+    stage.runners[0].next();
+}
