A connection on its way out turns no work away, and runners put back are not left alone at a start

A connection that is closing keeps its place and counts no longer as open; the wait holds for runners that had started before the process did.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -635,7 +635,7 @@
             None if runner.ahead < heads && !self.lent => part,
             None => 0.0,
         };
-        if now >= self.leaves_cold {
+        if !self.leaves(r, now) {
             mine - self.cold_spent(r, now)
         } else {
             -1.0
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -286,6 +286,8 @@
     pub(crate) longest_wait: f64,
     /// Until when another process of this dispatcher has its part of the cold runners.
     pub(crate) leaves_cold: f64,
+    /// When it began, with nothing known of what a process before it sent.
+    pub(crate) began: f64,
     /// Where dispatchers share: what is left of each category's cap and of the resends, and the most that all
     /// together have running on one runner.
     pub(crate) left: Vec<f64>,
@@ -346,6 +348,7 @@
             wait_s: 0.0,
             longest_wait: 0.0,
             leaves_cold: f64::NEG_INFINITY,
+            began: f64::NEG_INFINITY,
             left: Vec::new(),
             lent: false,
             admit: Vec::new(),
@@ -435,6 +438,18 @@
         self.leaves_cold = if leave { f64::INFINITY } else { now + self.terms.fall_s };
     }
 
+    /// It begins now. Guards against a budget spent twice: what a process before this one sent just now to a runner that
+    /// was cold by then, nobody knows.
+    pub fn begins_anew(&mut self, now: f64) {
+        self.began = now;
+    }
+
+    /// A cold runner is not this process's now.
+    pub(crate) fn leaves(&self, r: usize, now: f64) -> bool {
+        let before = self.runners[r].born() < self.began;
+        now < self.leaves_cold || before && now < self.began + self.terms.fall_s
+    }
+
     pub fn kept(&self, r: usize) -> Kept {
         let runner = &self.runners[r];
         Kept {
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -75,8 +75,7 @@
     let listed = |r: usize, born: f64| (r, Some(Listed { born, ..runner(r as u64) }));
     let fresh = |me: usize, now: f64, seed: u64, machines: &[Machine]| {
         let mut d = Dispatcher::new(fleet_terms(me), seed, now);
-        // As the program starts one: of what the process before sent nothing is known.
-        d.leave_cold(now, false);
+        d.begins_anew(now);
         let born = |m: &Machine| m.born.unwrap_or(f64::NEG_INFINITY);
         let all: Vec<_> = machines.iter().enumerate().map(|(r, m)| listed(r, born(m))).collect();
         d.listed(now, News::Whole, &all);
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -74,8 +74,12 @@
                 let door = door.clone();
                 spawn_local(async move {
                     let _place = place;
-                    let _open = Counted::new(&door.open);
-                    let _ = connection(stream, &door).await;
+                    let open = Counted::new(&door.open);
+                    let Ok(Some(wire)) = connection(stream, &door).await else { return };
+                    // It keeps its place, but takes nobody's: no work is turned away for one that is on its way out.
+                    let (_unsettled, within_s) = (Counted::new(&door.unsettled), door.linger_s());
+                    drop(open);
+                    let _ = linger(wire, within_s).await;
                 });
             }
             Err(error) => {
@@ -107,7 +111,8 @@
     }
 }
 
-async fn connection(stream: TcpStream, door: &Door) -> Result<(), Fault> {
+/// A connection's life up to its close: what is left to be read to its end, if anybody is there.
+async fn connection(stream: TcpStream, door: &Door) -> Result<Option<Wire>, Fault> {
     let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
     let mut ahead = Ahead::default();
@@ -120,17 +125,17 @@
         let unsettled = Counted::new(&door.unsettled);
         let overrun = std::mem::take(&mut ahead.overrun);
         let (mut reply, open, keep) = match come {
-            Come::Gone => return Ok(()),
+            Come::Gone => return Ok(None),
             // Guards against a reset over a request that crosses the close: it is read and left, and its client, who
             // sees a plain end, sends it once more elsewhere.
-            Come::Close => return linger(wire, door.linger_s()).await,
+            Come::Close => return Ok(Some(wire)),
             Come::Request(request) => {
                 let _busy = Counted::new(&door.busy);
                 let keep = request.keep && !overrun;
                 news = request.target == NEWS;
                 let bare = request.method == Method::Head;
                 let Some((reply, open)) = answer(request, &mut wire, &mut ahead, door).await else {
-                    return Ok(());
+                    return Ok(None);
                 };
                 (Reply { bare, ..reply }, open, keep)
             }
@@ -147,7 +152,7 @@
         open.into_iter().for_each(|open| open.answered(status));
         drop(busy);
         if close {
-            return linger(wire, door.linger_s()).await;
+            return Ok(Some(wire));
         }
         drop(unsettled);
     }
--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -246,8 +246,7 @@
         may_cancel: start.terms.may_cancel,
     };
     let mut dispatcher = Dispatcher::new(start.terms, start.seed, clock.now());
-    // Guards against a budget spent twice: what a process before this one sent to cold runners just now, nobody knows.
-    dispatcher.leave_cold(clock.now(), false);
+    dispatcher.begins_anew(clock.now());
     let mut exchange = Exchange::new(dispatcher, outside, parts, clock.now());
     let former = match &meeting {
         Some(meeting) => meeting.find().await,
