--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -4,7 +4,7 @@
 use crate::learnt::{Inherited, Known, Learnt, Passed, Usual};
 use crate::message::number;
 use crate::roster::{Gate, Life, Member, Told};
-use sagetrail_policy::{Kept, Listed, News, Outcome, Wi};
+use sagetrail_policy::{Kept, Listed, News, Outcome, WorkItem};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,8 +12,8 @@
 impl<O: Outside> Exchange<O> {
     // ---- the list ----
 
-    pub fn list_failed(&mut self) {
-        self.dispatcher.list_failed(self.desk.now);
+    pub fn discovery_failed(&mut self) {
+        self.dispatcher.discovery_failed(self.desk.now);
     }
 
     pub fn listed(&mut self, told: Told) {
@@ -76,7 +76,7 @@
         out.difference(&before).for_each(|id| _ = self.by_hand(id, true));
     }
 
-    /// Guards against a first hand-off to a runner that is named after the word on it.
+    /// Guards against a first attempt to a runner that is named after the word on it.
     fn hold_out(&mut self, entries: &[(usize, Option<Listed>)]) {
         if self.desk.held_out.is_empty() {
             return;
@@ -205,7 +205,7 @@
         for place in 0..self.desk.taken.len() {
             let Some(Taken { serial, out: Some(out), .. }) = &self.desk.taken[place] else { continue };
             if out.accepted && born.get(&out.runner).is_some_and(|born| *born > out.sent) {
-                let ticket = Ticket { wi: Wi(place as u32), serial: *serial, no: out.no };
+                let ticket = Ticket { work_item: WorkItem(place as u32), serial: *serial, no: out.no };
                 self.ended(ticket, Outcome::Reset);
             }
         }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -2,7 +2,7 @@
 use crate::learnt::Known;
 use crate::message::{Order, Outgoing, Reply};
 use crate::roster::{Gate, Member};
-use sagetrail_policy::{Dispatcher, Host, Outcome, Wi};
+use sagetrail_policy::{Dispatcher, Host, Outcome, WorkItem};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -29,19 +29,19 @@
     fn enlist(&mut self, gate: Rc<Gate>);
     /// Connections to this runner lead nowhere any more.
     fn drop_idle(&mut self, runner: usize);
-    fn ask_list(&mut self);
+    fn ask_discovery(&mut self);
     fn has_list(&mut self, has: bool);
 
     // ---- where dispatchers share; nothing, where they do not ----
 
     /// A work item has been taken.
     fn took(&mut self, _now: f64, _category: usize) {}
-    /// Until when a hand-off of this kind may begin: what it is spent from ends then. Looked at where its first
+    /// Until when an attempt of this kind may begin: what it is spent from ends then. Looked at where its first
     /// byte is written. Guards against a process paused in between.
     fn spend_by(&self, _now: f64, _runner: usize, _category: usize) -> f64 {
         f64::INFINITY
     }
-    /// A hand-off goes out; `again` if it is not its work item's first.
+    /// A attempt goes out; `again` if it is not its work item's first.
     fn goes(&mut self, _now: f64, _again: bool) {}
     /// What was seen of a runner.
     fn saw(&mut self, _now: f64, _runner: usize, _what: Saw) {}
@@ -55,7 +55,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Saw {
     Finished,
-    /// It took a hand-off, or a job of it failed: it is there.
+    /// It took an attempt, or a job of it failed: it is there.
     Heard,
     Failed,
     /// Not reached, reset, out of time, or no sign where one was due.
@@ -91,10 +91,10 @@
     }
 }
 
-/// A work item's hand-off, told apart from all others there ever were.
+/// A work item's attempt, told apart from all others there ever were.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ticket {
-    pub(crate) wi: Wi,
+    pub(crate) work_item: WorkItem,
     pub(crate) serial: u64,
     pub(crate) no: u16,
 }
@@ -102,12 +102,12 @@
 /// What a message to a runner is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Task {
-    HandOff(Ticket),
-    /// Giving it up, and what is told of the hand-off once that is known.
+    Attempt(Ticket),
+    /// Giving it up, and what is told of the attempt once that is known.
     GiveUp(Ticket, Option<Outcome>),
 }
 
-/// A hand-off that is out.
+/// A attempt that is out.
 pub(crate) struct Out<E> {
     pub no: u16,
     pub runner: usize,
@@ -136,11 +136,11 @@
     pub before: Vec<usize>,
 }
 
-/// In place of a hand-off's number in the timers: the work item's own expiry.
+/// In place of an attempt's number in the timers: the work item's own expiry.
 pub(crate) const EXPIRY: u16 = u16::MAX;
 /// A work item unanswered this long past its expiry is answered by the exchange itself.
 pub(crate) const OVERDUE_S: f64 = 0.01;
-/// At the end hand-offs are dropped this long before everything must be settled.
+/// At the end attempts are dropped this long before everything must be settled.
 pub(crate) const LEAD_S: f64 = 0.05;
 
 /// What the decisions ask for is carried out here.
@@ -156,14 +156,14 @@
     pub members: Vec<Member>,
     pub places: HashMap<String, usize>,
     pub taken: Vec<Option<Taken<O::Client, O::Errand>>>,
-    pub ids: HashMap<Rc<str>, Wi>,
+    pub ids: HashMap<Rc<str>, WorkItem>,
     pub serial: u64,
-    pub timers: BTreeMap<(u64, u64, u16), Wi>,
+    pub timers: BTreeMap<(u64, u64, u16), WorkItem>,
     /// Starts told and not yet passed on, by when they came.
     pub starts: VecDeque<(f64, Ticket)>,
     pub wake_at: f64,
     pub most_held: usize,
-    pub come_back_s: f64,
+    pub retry_after_s: f64,
     /// A work item may be at two runners at once.
     pub two_at_once: bool,
     pub may_cancel: bool,
@@ -180,28 +180,30 @@
 }
 
 impl<O: Outside> Desk<O> {
-    pub fn taken(&mut self, wi: Wi) -> Option<&mut Taken<O::Client, O::Errand>> {
-        self.taken.get_mut(wi.0 as usize)?.as_mut()
+    pub fn taken(&mut self, work_item: WorkItem) -> Option<&mut Taken<O::Client, O::Errand>> {
+        self.taken.get_mut(work_item.0 as usize)?.as_mut()
     }
 
-    /// The hand-off that a ticket names, if it is still out.
+    /// The attempt that a ticket names, if it is still out.
     pub fn out(&mut self, ticket: Ticket) -> Option<&mut Out<O::Errand>> {
-        let taken = self.taken(ticket.wi).filter(|taken| taken.serial == ticket.serial)?;
+        let taken = self.taken(ticket.work_item).filter(|taken| taken.serial == ticket.serial)?;
         taken.out.as_mut().filter(|out| out.no == ticket.no)
     }
 
-    pub fn answer(&mut self, wi: Wi, reply: Reply) {
-        if let Some(client) = self.taken(wi).and_then(|taken| taken.answer.take()) {
+    pub fn answer(&mut self, work_item: WorkItem, reply: Reply) {
+        if let Some(client) = self.taken(work_item).and_then(|taken| taken.answer.take()) {
             self.outside.answer(client, reply);
         }
     }
 
-    /// Takes a hand-off back: by its connection as long as the runner has not taken it, by word after. `then`
+    /// Takes an attempt back: by its connection as long as the runner has not taken it, by word after. `then`
     /// says what is told once it is known to be given up.
     pub fn call_off(&mut self, ticket: Ticket, then: Option<Outcome>) {
         let until = self.now + 2.0 * self.dial_s;
         let may_cancel = self.may_cancel;
-        let Some(taken) = self.taken(ticket.wi).filter(|taken| taken.serial == ticket.serial) else { return };
+        let Some(taken) = self.taken(ticket.work_item).filter(|taken| taken.serial == ticket.serial) else {
+            return;
+        };
         let give_up = Outgoing::GiveUp { id: taken.order.id.to_string() };
         let Some(out) = taken.out.as_mut().filter(|out| out.no == ticket.no) else { return };
         out.off = true;
@@ -223,12 +225,12 @@
         self.now
     }
 
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, begin_by: f64) {
+    fn send_attempt(&mut self, work_item: WorkItem, runner: usize, drop_at: f64, begin_by: f64) {
         let (sent, drop_at) = (self.now, drop_at.min(self.end_at - LEAD_S));
-        let Some(taken) = self.taken(wi) else { return };
+        let Some(taken) = self.taken(work_item) else { return };
         let (no, category) = (taken.made, taken.category);
         taken.made += 1;
-        let ticket = Ticket { wi, serial: taken.serial, no };
+        let ticket = Ticket { work_item, serial: taken.serial, no };
         let Order { target, headers, body, gone, .. } = &taken.order;
         let (target, headers, body, gone) = (target.clone(), headers.clone(), body.clone(), gone.clone());
         let begin_by = begin_by.min(self.outside.spend_by(sent, runner, category));
@@ -236,27 +238,27 @@
         self.outside.goes(sent, no > 0);
         self.load.sends(category, true);
         let whole = Rc::new(Cell::new(false));
-        let errand = Some(self.outside.begin(Task::HandOff(ticket), runner, message, drop_at, whole.clone()));
+        let errand = Some(self.outside.begin(Task::Attempt(ticket), runner, message, drop_at, whole.clone()));
         let (accepted, started, off, unheard) = (false, false, false, false);
-        if let Some(taken) = self.taken(wi) {
+        if let Some(taken) = self.taken(work_item) {
             taken.out =
                 Some(Out { no, runner, sent, drop_at, errand, whole, accepted, started, off, unheard });
         }
-        self.timers.insert((micros(drop_at), ticket.serial, no), wi);
+        self.timers.insert((micros(drop_at), ticket.serial, no), work_item);
     }
 
-    fn defer(&mut self, wi: Wi, come_back_s: f64) {
-        self.answer(wi, Reply { come_back_s, ..Reply::new(503, "deferred\n") });
+    fn defer(&mut self, work_item: WorkItem, retry_after_s: f64) {
+        self.answer(work_item, Reply { retry_after_s, ..Reply::new(503, "deferred\n") });
     }
 
-    fn write_off(&mut self, wi: Wi) {
-        self.answer(wi, Reply::new(502, "written off\n"));
+    fn write_off(&mut self, work_item: WorkItem) {
+        self.answer(work_item, Reply::new(502, "written off\n"));
     }
 
-    fn cancel(&mut self, wi: Wi, ho: u16) {
-        let Some(taken) = self.taken(wi) else { return };
-        let ticket = Ticket { wi, serial: taken.serial, no: ho };
-        if taken.out.as_ref().is_some_and(|out| out.no == ho && !out.off) {
+    fn cancel(&mut self, work_item: WorkItem, attempt: u16) {
+        let Some(taken) = self.taken(work_item) else { return };
+        let ticket = Ticket { work_item, serial: taken.serial, no: attempt };
+        if taken.out.as_ref().is_some_and(|out| out.no == attempt && !out.off) {
             // While its client still waits, it is called off for its runner's sake.
             let runner = taken.out.as_ref().map_or(0, |out| out.runner);
             if taken.answer.is_some() {
@@ -266,8 +268,8 @@
         }
     }
 
-    fn forget(&mut self, wi: Wi) {
-        if let Some(taken) = self.taken.get_mut(wi.0 as usize).and_then(Option::take) {
+    fn forget(&mut self, work_item: WorkItem) {
+        if let Some(taken) = self.taken.get_mut(work_item.0 as usize).and_then(Option::take) {
             self.load.takes(taken.category, false);
             if let Some(out) = &taken.out {
                 self.load.sends(taken.category, false);
@@ -293,7 +295,7 @@
     }
 
     fn watch(&mut self) {
-        self.outside.ask_list();
+        self.outside.ask_discovery();
     }
 
     fn log(&mut self, runner: usize, line: &str) {
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Where clients and runners meet: what happens is turned into calls on the decisions, which then decide once.
 use crate::desk::{micros, Desk, Load, Outside, Saw, Taken, Task, Ticket, EXPIRY, LEAD_S, OVERDUE_S};
-use crate::message::{Answer, Broken, Order, Reply, State, Word};
-use sagetrail_policy::{Dispatcher, Host, Job, Outcome, Wi};
+use crate::message::{Answer, Broken, Callback, Order, Reply, State};
+use sagetrail_policy::{Dispatcher, Host, Job, Outcome, WorkItem};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -21,14 +21,14 @@
     pub dial_s: f64,
     pub drain_s: f64,
     pub most_held: usize,
-    pub come_back_s: f64,
+    pub retry_after_s: f64,
     pub two_at_once: bool,
     pub may_cancel: bool,
 }
 
 impl<O: Outside> Exchange<O> {
     pub fn new(dispatcher: Dispatcher, outside: O, parts: Parts, now: f64) -> Self {
-        let Parts { unix, dial_s, drain_s, most_held, come_back_s, two_at_once, may_cancel } = parts;
+        let Parts { unix, dial_s, drain_s, most_held, retry_after_s, two_at_once, may_cancel } = parts;
         let desk = Desk {
             outside,
             now,
@@ -45,7 +45,7 @@
             starts: VecDeque::new(),
             wake_at: 0.0,
             most_held,
-            come_back_s,
+            retry_after_s,
             two_at_once,
             may_cancel,
             held_out: BTreeSet::new(),
@@ -97,20 +97,22 @@
     }
 
     fn timers(&mut self) {
-        while let Some((&(at, serial, no), &wi)) = self.desk.timers.first_key_value() {
+        while let Some((&(at, serial, no), &work_item)) = self.desk.timers.first_key_value() {
             if at > micros(self.desk.now) {
                 return;
             }
             self.desk.timers.pop_first();
-            let Some(taken) = self.desk.taken(wi).filter(|taken| taken.serial == serial) else { continue };
+            let Some(taken) = self.desk.taken(work_item).filter(|taken| taken.serial == serial) else {
+                continue;
+            };
             if no == EXPIRY {
                 if taken.answer.is_some() {
                     tracing::error!("work item {} was overdue and is written off", taken.order.id);
-                    self.desk.write_off(wi);
-                    wi.left(&mut self.dispatcher, &mut self.desk);
+                    self.desk.write_off(work_item);
+                    work_item.left(&mut self.dispatcher, &mut self.desk);
                 }
             } else if taken.out.as_ref().is_some_and(|out| out.no == no) {
-                let ticket = Ticket { wi, serial, no };
+                let ticket = Ticket { work_item, serial, no };
                 self.desk.call_off(ticket, None);
                 self.ended(ticket, Outcome::Timeout);
             }
@@ -126,19 +128,19 @@
             return self.desk.outside.answer(answer, Reply::new(400, "this Req-Id is in hand already\n"));
         }
         if self.desk.ids.len() >= self.desk.most_held {
-            let come_back_s = self.desk.come_back_s;
-            let reply = Reply { come_back_s, ..Reply::new(503, "too many in hand\n") };
+            let retry_after_s = self.desk.retry_after_s;
+            let reply = Reply { retry_after_s, ..Reply::new(503, "too many in hand\n") };
             return self.desk.outside.answer(answer, reply);
         }
         let expiry = (now + wait_s).min(self.desk.end_at);
-        let Some(wi) = self.dispatcher.take(now, Job { expiry, ..job }) else {
+        let Some(work_item) = self.dispatcher.take(now, Job { expiry, ..job }) else {
             return self.desk.outside.answer(answer, Reply::new(404, "unknown category\n"));
         };
         self.desk.serial += 1;
         let serial = self.desk.serial;
-        self.desk.ids.insert(order.id.clone(), wi);
-        self.desk.timers.insert((micros(expiry + OVERDUE_S), serial, EXPIRY), wi);
-        let place = wi.0 as usize;
+        self.desk.ids.insert(order.id.clone(), work_item);
+        self.desk.timers.insert((micros(expiry + OVERDUE_S), serial, EXPIRY), work_item);
+        let place = work_item.0 as usize;
         if self.desk.taken.len() <= place {
             self.desk.taken.resize_with(place + 1, || None);
         }
@@ -165,73 +167,75 @@
             }
             for (was, most, no) in timers {
                 self.desk.timers.remove(&(micros(was), taken.serial, no));
-                self.desk.timers.insert((micros(was.min(most)), taken.serial, no), Wi(place as u32));
+                self.desk.timers.insert((micros(was.min(most)), taken.serial, no), WorkItem(place as u32));
             }
         }
     }
 
     /// The client of this work item has closed its connection.
     pub fn left(&mut self, id: &str) {
-        let Some(&wi) = self.desk.ids.get(id) else { return };
+        let Some(&work_item) = self.desk.ids.get(id) else { return };
         // Not the one that was turned away for the same id.
         let gone = |taken: &&mut Taken<_, _>| taken.answer.as_ref().is_some_and(O::gone);
-        if let Some(taken) = self.desk.taken(wi).filter(gone) {
+        if let Some(taken) = self.desk.taken(work_item).filter(gone) {
             taken.answer = None;
-            wi.left(&mut self.dispatcher, &mut self.desk);
+            work_item.left(&mut self.dispatcher, &mut self.desk);
         }
         // Guards against an attempt that begins once nobody waits: where giving up is not allowed, one whose connection
         // is still coming up is held back all the same.
-        let Some(taken) = self.desk.taken(wi).filter(|taken| taken.answer.is_none()) else { return };
+        let Some(taken) = self.desk.taken(work_item).filter(|taken| taken.answer.is_none()) else { return };
         let serial = taken.serial;
         if let Some(out) = taken.out.as_ref().filter(|out| !out.off && !out.whole.get()) {
-            let ticket = Ticket { wi, serial, no: out.no };
+            let ticket = Ticket { work_item, serial, no: out.no };
             self.desk.call_off(ticket, None);
         }
     }
 
     // ---- the runners ----
 
-    /// What a runner tells, if it is about the hand-off that is out there now; false if the work item is not in
+    /// What a runner tells, if it is about the attempt that is out there now; false if the work item is not in
     /// hand here.
-    pub fn word(&mut self, word: Word) -> bool {
-        let Some(&wi) = self.desk.ids.get(word.id.as_str()) else { return false };
-        self.word_of(wi, word);
+    pub fn callback(&mut self, callback: Callback) -> bool {
+        let Some(&work_item) = self.desk.ids.get(callback.id.as_str()) else { return false };
+        self.callback_of(work_item, callback);
         true
     }
 
-    fn word_of(&mut self, wi: Wi, word: Word) {
+    fn callback_of(&mut self, work_item: WorkItem, callback: Callback) {
         let now = self.desk.now;
-        let Some(serial) = self.desk.taken(wi).map(|taken| taken.serial) else { return };
-        let Some(out) = self.desk.taken(wi).and_then(|taken| taken.out.as_ref()) else { return };
-        // Guards against news of an earlier hand-off: from another runner, or before this one was written.
+        let Some(serial) = self.desk.taken(work_item).map(|taken| taken.serial) else { return };
+        let Some(out) = self.desk.taken(work_item).and_then(|taken| taken.out.as_ref()) else { return };
+        // Guards against news of an earlier attempt: from another runner, or before this one was written.
         let (no, runner, whole) = (out.no, out.runner, out.whole.get());
-        if !whole || self.desk.load.gates[runner].name != word.from {
+        if !whole || self.desk.load.gates[runner].name != callback.from {
             return;
         }
-        let ticket = Ticket { wi, serial, no };
+        let ticket = Ticket { work_item, serial, no };
         // Guards against closing the connection of a job whose 202 is under way, and calling that given up.
         if let Some(out) = self.desk.out(ticket) {
             out.accepted = true;
         }
-        wi.accepted(&mut self.dispatcher, now, no);
-        match word.state {
+        work_item.accepted(&mut self.dispatcher, now, no);
+        match callback.state {
             State::Started => self.desk.starts.push_back((now, ticket)),
-            State::Running { share } => wi.progressed(&mut self.dispatcher, now, no, share.clamp(0.0, 1.0)),
+            State::Running { share } => {
+                work_item.progressed(&mut self.dispatcher, now, no, share.clamp(0.0, 1.0))
+            }
             State::Done { result } => {
-                self.desk.answer(wi, Reply::new(200, result));
+                self.desk.answer(work_item, Reply::new(200, result));
                 self.ended(ticket, Outcome::Finished);
             }
-            State::Failed => self.ended_by_word(ticket, Outcome::Error),
-            State::Returned => self.ended_by_word(ticket, Outcome::Full),
-            State::Lost => self.ended_by_word(ticket, Outcome::Reset),
+            State::Failed => self.ended_by_callback(ticket, Outcome::Error),
+            State::Returned => self.ended_by_callback(ticket, Outcome::Full),
+            State::Lost => self.ended_by_callback(ticket, Outcome::Reset),
         }
     }
 
     /// A runner says how an attempt ended. Guards against its word on an earlier one there, told late or once more:
     /// this one may run on, so it is given up first, and counts as one that may have run.
-    fn ended_by_word(&mut self, ticket: Ticket, outcome: Outcome) {
+    fn ended_by_callback(&mut self, ticket: Ticket, outcome: Outcome) {
         let runner = self.desk.out(ticket).map(|out| out.runner);
-        let taken = self.desk.taken(ticket.wi);
+        let taken = self.desk.taken(ticket.work_item);
         let earlier = taken.is_some_and(|taken| taken.before.iter().any(|before| Some(*before) == runner));
         match earlier {
             false => self.ended(ticket, outcome),
@@ -243,7 +247,7 @@
     /// A message to a runner has done its part, or never could.
     pub fn errand_ended(&mut self, task: Task, ended: Result<Answer, Broken>) {
         match task {
-            Task::HandOff(ticket) => self.came_back(ticket, ended),
+            Task::Attempt(ticket) => self.came_back(ticket, ended),
             Task::GiveUp(ticket, then) => self.given_up(ticket, then, ended),
         }
     }
@@ -269,7 +273,7 @@
                 if off {
                     self.desk.call_off(ticket, Some(Outcome::Cancelled));
                 }
-                return ticket.wi.accepted(&mut self.dispatcher, self.desk.now, ticket.no);
+                return ticket.work_item.accepted(&mut self.dispatcher, self.desk.now, ticket.no);
             }
             Ok(Answer { status: 503 | 504, declined: true, doubtful: false, .. }) => Outcome::Full,
             Ok(Answer { status: 503 | 504, declined: true, .. }) => Outcome::Unsure,
@@ -283,12 +287,12 @@
         self.ended(ticket, outcome);
     }
 
-    /// The runner has been told to give a hand-off up, or could not be. Guards against a second copy beside
+    /// The runner has been told to give an attempt up, or could not be. Guards against a second copy beside
     /// one that runs on behind a cut: where two at once are not allowed, what could not be told is told
     /// again until its client gives up. A refused connection proves nothing, a full runner refuses too; of a
     /// process that died its machine tells, and the list of one that started again.
     fn given_up(&mut self, ticket: Ticket, then: Option<Outcome>, ended: Result<Answer, Broken>) {
-        let (Some(then), Some(taken)) = (then, self.desk.taken(ticket.wi)) else { return };
+        let (Some(then), Some(taken)) = (then, self.desk.taken(ticket.work_item)) else { return };
         let id = taken.order.id.clone();
         if self.desk.two_at_once || ended.is_ok() {
             self.ended(ticket, then);
@@ -308,10 +312,10 @@
 
     pub(crate) fn ended(&mut self, ticket: Ticket, outcome: Outcome) {
         let Some(drop_at) = self.desk.out(ticket).map(|out| out.drop_at) else { return };
-        let Ticket { wi, serial, no } = ticket;
+        let Ticket { work_item, serial, no } = ticket;
         self.desk.timers.remove(&(micros(drop_at), serial, no));
         self.pass_starts(|_, _, other| other.serial == serial);
-        let Some(taken) = self.desk.taken(wi) else { return };
+        let Some(taken) = self.desk.taken(work_item) else { return };
         let category = taken.category;
         let Some(out) = taken.out.take() else { return };
         if out.whole.get() {
@@ -329,7 +333,7 @@
         };
         saw.into_iter().for_each(|saw| self.desk.outside.saw(self.desk.now, out.runner, saw));
         let settled = outcome == Outcome::Finished;
-        wi.outcome(&mut self.dispatcher, &mut self.desk, no, outcome, settled);
+        work_item.outcome(&mut self.dispatcher, &mut self.desk, no, outcome, settled);
         self.pass_starts(|desk, _, other| desk.out(other).is_some_and(|next| next.runner == out.runner));
     }
 
@@ -345,7 +349,7 @@
                 if !again {
                     self.desk.load.starts(runner, true);
                 }
-                ticket.wi.started(&mut self.dispatcher, at, ticket.no);
+                ticket.work_item.started(&mut self.dispatcher, at, ticket.no);
             }
         }
     }
--- a/crates/core/src/figures.rs
+++ b/crates/core/src/figures.rs
@@ -15,7 +15,7 @@
 #[derive(Default)]
 pub struct Figures {
     categories: Vec<(String, Ends)>,
-    /// Hand-offs written whole to runners.
+    /// Attempts written whole to runners.
     pub relayed: Cell<u64>,
     open: Cell<u64>,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,5 +13,5 @@
 pub use exchange::{Exchange, Parts};
 pub use figures::{Figures, Open};
 pub use learnt::{terms, Inherited, Known, Learnt, Passed, Usual};
-pub use message::{number, Answer, Broken, Order, Outgoing, Reply, State, Word};
+pub use message::{number, Answer, Broken, Callback, Order, Outgoing, Reply, State};
 pub use roster::{Gate, Life, Member, Names, Told};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,7 @@
 #[derive(Debug)]
 pub struct Reply {
     pub status: u16,
-    pub come_back_s: f64,
+    pub retry_after_s: f64,
     pub body: Bytes,
     pub close: bool,
     /// To HEAD: the length alone.
@@ -16,7 +16,7 @@
 
 impl Reply {
     pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
-        Reply { status, come_back_s: 0.0, body: body.into(), close: false, bare: false }
+        Reply { status, retry_after_s: 0.0, body: body.into(), close: false, bare: false }
     }
 }
 
@@ -73,7 +73,7 @@
 
 /// What a runner tells of a job.
 #[derive(Deserialize, Serialize, Clone, Debug)]
-pub struct Word {
+pub struct Callback {
     pub id: String,
     pub from: String,
     #[serde(flatten)]
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -107,11 +107,11 @@
     }
 }
 
-/// Whether a hand-off to a runner may begin: what the exchange says, read where the first byte is written.
+/// Whether an attempt to a runner may begin: what the exchange says, read where the first byte is written.
 pub struct Gate {
     pub name: String,
     pub address: Cell<SocketAddr>,
-    /// From when on no hand-off may begin: it drains or is gone.
+    /// From when on no attempt may begin: it drains or is gone.
     pub shut_at: Cell<f64>,
     /// Operators have taken it out.
     pub out: Cell<bool>,
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -36,7 +36,7 @@
     }
     fn enlist(&mut self, _: Rc<Gate>) {}
     fn drop_idle(&mut self, _: usize) {}
-    fn ask_list(&mut self) {}
+    fn ask_discovery(&mut self) {}
     fn has_list(&mut self, _: bool) {}
 }
 
@@ -56,10 +56,10 @@
         tells_taking: true,
         tells_start: true,
         may_cancel: true,
-        max_come_back_s: 2.0,
-        most_hand_offs: 3,
+        max_retry_after_s: 2.0,
+        most_attempts: 3,
         must_ask_s: 10.0,
-        categories: vec![category(Repeat::Rerunnable), category(Repeat::Exclusive)],
+        categories: vec![category(Repeat::Idempotent), category(Repeat::AtMostOnce)],
         ..Terms::default()
     };
     let parts = Parts {
@@ -67,7 +67,7 @@
         dial_s: 0.25,
         drain_s: 0.3,
         most_held: 100,
-        come_back_s: 1.0,
+        retry_after_s: 1.0,
         two_at_once: false,
         may_cancel: true,
     };
@@ -100,9 +100,9 @@
     exchange.settle();
 }
 
-fn word(exchange: &mut Exchange<Fake>, now: f64, from: &str, state: State) {
+fn callback(exchange: &mut Exchange<Fake>, now: f64, from: &str, state: State) {
     exchange.at(now);
-    exchange.word(Word { id: "w".to_string(), from: from.to_string(), state });
+    exchange.callback(Callback { id: "w".to_string(), from: from.to_string(), state });
     exchange.settle();
 }
 
@@ -111,11 +111,11 @@
     let (mut exchange, world) = exchange(1);
     take(&mut exchange, 1.0, "w", 0);
     let whole = world.0.borrow().begun[0].3.clone();
-    word(&mut exchange, 1.1, "s-0", State::Done { result: String::new() });
+    callback(&mut exchange, 1.1, "s-0", State::Done { result: String::new() });
     assert!(world.0.borrow().answers.is_empty(), "nothing has been written to it yet");
     whole.set(true);
     for now in [1.2, 1.3] {
-        word(&mut exchange, now, "s-0", State::Done { result: String::new() });
+        callback(&mut exchange, now, "s-0", State::Done { result: String::new() });
     }
     assert_eq!(world.0.borrow().answers, [(1, 200)]);
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 mod state;
 mod terms;
 
-pub use policy::{Dispatcher, Wi};
+pub use policy::{Dispatcher, WorkItem};
 pub use reading::{read_terms, Stated};
 pub use state::Kept;
 pub use terms::*;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,12 +1,12 @@
 //! Every decision of sagetrail. How to call it: make a `Dispatcher` from its `Terms` and a seed, tell it the
-//! list with `listed`, take work items with `take`, and tell each handle (`Wi`) what becomes of it:
+//! list with `listed`, take work items with `take`, and tell each handle (`WorkItem`) what becomes of it:
 //! `started`, `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes
 //! due, call `decide`: it visits the runners and acts through the `Host`. Before a planned end, `end_by`. The
 //! interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`) is defined in `terms.rs`.
 use crate::pcg::draw;
 use crate::ring::{median, Ring};
 pub use crate::state::Dispatcher;
-use crate::state::{HandOff, Runner, Work};
+use crate::state::{Attempt, Runner, Work};
 use crate::terms::*;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
@@ -38,7 +38,7 @@
 const LOOK_S: f64 = 0.1;
 /// What each work item of ours there adds to a wait, in usual runs by the slots seen; 0.1 and 0.5 lose.
 const LOAD: f64 = 0.25;
-/// A start later than this after its hand-off has waited for a slot: several times a connection's cost.
+/// A start later than this after its attempt has waited for a slot: several times a connection's cost.
 const PROMPT_S: f64 = 0.1;
 /// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
 pub const WAITS: usize = 32;
@@ -49,15 +49,15 @@
 
 /// A work item's handle.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Wi(pub u32);
+pub struct WorkItem(pub u32);
 
-impl Wi {
-    /// The hand-off's job has started.
+impl WorkItem {
+    /// The attempt's job has started.
     pub fn started(self, d: &mut Dispatcher, now: f64, no: u16) {
-        let first = |ho: &&mut HandOff| ho.no == no && ho.started.is_none(); // News may come twice.
-        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(first) else { return };
-        (ho.started, ho.moved) = (Some(now), now);
-        let (waited, runner) = (now - ho.sent, &mut d.runners[ho.runner]);
+        let first = |a: &&mut Attempt| a.no == no && a.started.is_none(); // A callback may come twice.
+        let Some(attempt) = d.works[self.0 as usize].out.as_mut().filter(first) else { return };
+        (attempt.started, attempt.moved) = (Some(now), now);
+        let (waited, runner) = (now - attempt.sent, &mut d.runners[attempt.runner]);
         d.waits.push((waited, now));
         runner.heard = now;
         runner.running += 1.0;
@@ -72,18 +72,18 @@
         }
     }
 
-    /// The runner has said that it takes the hand-off.
+    /// The runner has said that it takes the attempt.
     pub fn accepted(self, d: &mut Dispatcher, now: f64, no: u16) {
-        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        ho.moved = ho.moved.max(now);
-        d.runners[ho.runner].took = now;
+        let Some(out) = d.works[self.0 as usize].out.as_mut().filter(|out| out.no == no) else { return };
+        out.moved = out.moved.max(now);
+        d.runners[out.runner].took = now;
     }
 
-    /// So much of the hand-off's job is done.
+    /// So much of the attempt's job is done.
     pub fn progressed(self, d: &mut Dispatcher, now: f64, no: u16, share: f64) {
-        let Some(ho) = d.works[self.0 as usize].out.as_mut().filter(|ho| ho.no == no) else { return };
-        (ho.moved, ho.share) = (now, share);
-        d.runners[ho.runner].heard = now;
+        let Some(out) = d.works[self.0 as usize].out.as_mut().filter(|out| out.no == no) else { return };
+        (out.moved, out.share) = (now, share);
+        d.runners[out.runner].heard = now;
     }
 
     /// The client has gone; nothing is owed any more.
@@ -94,19 +94,19 @@
         d.release(host, self.0);
     }
 
-    /// A hand-off has come back.
+    /// A attempt has come back.
     pub fn outcome(self, d: &mut Dispatcher, host: &mut impl Host, no: u16, outcome: Outcome, settled: bool) {
         let now = host.now();
         let work = &mut d.works[self.0 as usize];
-        let Some(ho) = work.out.take_if(|ho| ho.no == no) else { return };
+        let Some(attempt) = work.out.take_if(|attempt| attempt.no == no) else { return };
         let job = work.job;
-        d.runners[ho.runner].unload(&job, &ho);
+        d.runners[attempt.runner].unload(&job, &attempt);
         d.changed = true;
-        d.learn(&job, &ho, now, outcome);
+        d.learn(&job, &attempt, now, outcome);
         let work = &mut d.works[self.0 as usize];
         work.ended |= settled;
         if !outcome.never_ran() && outcome != Outcome::Finished {
-            work.ran.get_or_insert((ho.sent, ho.runner));
+            work.ran.get_or_insert((attempt.sent, attempt.runner));
         }
         if work.ended {
             return d.release(host, self.0);
@@ -116,7 +116,7 @@
             return d.end(host, self.0, false);
         }
         // Guards against giving the same failing runner its work straight back.
-        work.avoid = (ho.runner, if outcome == Outcome::Stale { now } else { now + 1.0 });
+        work.avoid = (attempt.runner, if outcome == Outcome::Stale { now } else { now + 1.0 });
         if !d.may_resend(self.0, now) {
             return d.end(host, self.0, true);
         }
@@ -126,7 +126,7 @@
 
 impl Dispatcher {
     /// Takes a work item of a known category; it is held until `decide` finds it a runner.
-    pub fn take(&mut self, now: f64, job: Job) -> Option<Wi> {
+    pub fn take(&mut self, now: f64, job: Job) -> Option<WorkItem> {
         self.terms.categories.get(job.category)?;
         self.asked.push(job.key);
         // Guards against repeats that look fresh: a client gives up all tries at one time, so what is left of
@@ -140,7 +140,7 @@
         let part = self.admit.get(job.category).copied().unwrap_or(1.0);
         self.works[id as usize].refused = part < 1.0 && self.pcg.chance() >= part;
         self.hold(now, id);
-        Some(Wi(id))
+        Some(WorkItem(id))
     }
 
     /// Two in the own zone first where crossing is dearer than a fetch, then elsewhere: neither is all.
@@ -293,7 +293,7 @@
     }
 
     /// A call to the list failed, or its subscription broke: ask again soon, with jitter.
-    pub fn list_failed(&mut self, now: f64) {
+    pub fn discovery_failed(&mut self, now: f64) {
         self.next_ask = now + self.ask_again_s * self.pcg.chance();
         self.ask_again_s = self.terms.ask_again_s(self.ask_again_s);
     }
@@ -551,11 +551,11 @@
             runner.cold_sent.push_back((now, size));
         }
         runner.trial = runner.resting.map(|_| now + runner.rest_s);
-        work.out = Some(HandOff::new(r, work.made, now, runner.mine >= runner.cap, fetches));
+        work.out = Some(Attempt::new(r, work.made, now, runner.mine >= runner.cap, fetches));
         work.made += 1;
         // Guards against clocks that differ: the client may wait longer than was told, and be answered then.
         let drop_at = work.job.expiry + self.terms.expiry_off_s;
-        host.hand_off(Wi(w), r, drop_at, self.repeat_by(w));
+        host.send_attempt(WorkItem(w), r, drop_at, self.repeat_by(w));
     }
 
     // ---- room ----
@@ -605,7 +605,7 @@
             && now >= runner.left_until
             && self.may_go(w, r, now)
             && (runner.resting.is_none()
-                || runner.tried(now) && self.category(w).repeat == Repeat::Rerunnable)
+                || runner.tried(now) && self.category(w).repeat == Repeat::Idempotent)
     }
 
     /// What a runner may be sent by all within the rule's span; `None` for a warm one.
@@ -675,47 +675,47 @@
 
     // ---- what an outcome teaches ----
 
-    fn learn(&mut self, job: &Job, ho: &HandOff, now: f64, outcome: Outcome) {
-        let run = now - ho.started.unwrap_or(ho.sent);
+    fn learn(&mut self, job: &Job, attempt: &Attempt, now: f64, outcome: Outcome) {
+        let run = now - attempt.started.unwrap_or(attempt.sent);
         let expected = self.expected(job);
         let slow = self.slow_ratio();
-        let runner = &mut self.runners[ho.runner];
+        let runner = &mut self.runners[attempt.runner];
         match outcome {
             Outcome::Finished => {
                 runner.heard = now;
-                let prompt = ho.started.is_none_or(|s| s - ho.sent < PROMPT_S);
+                let prompt = attempt.started.is_none_or(|s| s - attempt.sent < PROMPT_S);
                 let lid = if now < runner.ceiling.1 { runner.ceiling.0 } else { f64::INFINITY };
-                if ho.at_cap && prompt && runner.cap < lid {
+                if attempt.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
-                self.errors.push((ho.runner, false));
-                self.measured(job, ho, run, expected);
+                self.errors.push((attempt.runner, false));
+                self.measured(job, attempt, run, expected);
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
                 // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
-                self.weigh(ho.runner, now, if run / expected > slow { 1.3 } else { -0.5 });
-                self.served(now, ho.runner, job.key);
+                self.weigh(attempt.runner, now, if run / expected > slow { 1.3 } else { -0.5 });
+                self.served(now, attempt.runner, job.key);
             }
             Outcome::Full | Outcome::Unsure => {
                 runner.cap = (runner.cap / 2.0).floor().max(1.0);
                 (runner.free, runner.reported, runner.refused) = (0.0, now, now);
                 // Guards against a runner full of others' work, or hung with a full queue: a mild bad sign.
-                self.weigh(ho.runner, now, 1.0);
+                self.weigh(attempt.runner, now, 1.0);
             }
             Outcome::Error | Outcome::Reset => {
-                let sign = self.error_sign(ho.runner);
-                self.errors.push((ho.runner, true));
-                self.shun(ho.runner, job.category, now, sign);
-                self.weigh(ho.runner, now, sign);
+                let sign = self.error_sign(attempt.runner);
+                self.errors.push((attempt.runner, true));
+                self.shun(attempt.runner, job.category, now, sign);
+                self.weigh(attempt.runner, now, sign);
             }
             // Guards against a dead runner that is still listed: it looks idle and draws work. One failure
             // alone may be the network's; it is left alone for a second even where it cannot rest.
             Outcome::NoConnection => {
                 runner.left_until = now + 1.0;
-                self.weigh(ho.runner, now, 3.0);
+                self.weigh(attempt.runner, now, 3.0);
             }
-            _ => self.weigh(ho.runner, now, 0.0),
+            _ => self.weigh(attempt.runner, now, 0.0),
         }
-        self.runners[ho.runner].trial = None;
+        self.runners[attempt.runner].trial = None;
     }
 
     /// How much an error says against its runner: ln(0.4/p), p being the errors of late at all the others.
@@ -792,9 +792,9 @@
         let category = self.category(w);
         let (a, b) = (&self.runners[first].at, &self.runners[r].at);
         match category.repeat {
-            Repeat::Rerunnable => true,
-            Repeat::Exclusive => false,
-            Repeat::Ticketed(scope) => {
+            Repeat::Idempotent => true,
+            Repeat::AtMostOnce => false,
+            Repeat::Keyed(scope) => {
                 now < self.repeat_by(w)
                     && match scope {
                         Scope::All => true,
@@ -809,13 +809,13 @@
         let work = &self.works[w as usize];
         let first = work.made == 0 || self.resends >= 1.0;
         first
-            && work.made < self.terms.most_hand_offs
+            && work.made < self.terms.most_attempts
             && work.ran.is_none_or(|(_, first)| self.may_go(w, first, now))
     }
 
     /// The final answer for what is given up on: deferred where that is harmless, else written off.
     fn end(&mut self, host: &mut impl Host, w: u32, in_time: bool) {
-        let again = matches!(self.category(w).repeat, Repeat::Rerunnable | Repeat::Ticketed(Scope::All));
+        let again = matches!(self.category(w).repeat, Repeat::Idempotent | Repeat::Keyed(Scope::All));
         let work = &mut self.works[w as usize];
         let refused = work.refused;
         work.ended = true;
@@ -824,18 +824,18 @@
             let ready = self.runners.iter().filter(|r| r.ready()).count().max(1) as f64;
             // Guards against all who are refused coming back at once.
             let apart = if refused { 1.0 + self.pcg.chance() } else { 0.0 };
-            host.defer(Wi(w), (0.2 + backlog / ready + apart).min(self.terms.max_come_back_s));
+            host.defer(WorkItem(w), (0.2 + backlog / ready + apart).min(self.terms.max_retry_after_s));
         } else {
-            host.write_off(Wi(w));
+            host.write_off(WorkItem(w));
         }
         self.release(host, w);
     }
 
     fn cancel(&mut self, host: &mut impl Host, w: u32) {
         let may = self.terms.may_cancel;
-        if let Some(ho) = self.works[w as usize].out.as_mut().filter(|ho| may && !ho.cancelled) {
-            ho.cancelled = true;
-            host.cancel(Wi(w), ho.no);
+        if let Some(attempt) = self.works[w as usize].out.as_mut().filter(|a| may && !a.cancelled) {
+            attempt.cancelled = true;
+            host.cancel(WorkItem(w), attempt.no);
         }
     }
 
@@ -899,11 +899,11 @@
     /// Silence and standing still are evidence too. Guards against runners that take work and answer nothing.
     fn doubt(&mut self, host: &mut impl Host, w: u32, now: f64) {
         let work = &self.works[w as usize];
-        let Some(ho) = work.out.as_ref().filter(|ho| !ho.cancelled) else { return };
-        let (r, run, category) = (ho.runner, self.expected(&work.job), work.job.category);
+        let Some(attempt) = work.out.as_ref().filter(|attempt| !attempt.cancelled) else { return };
+        let (r, run, category) = (attempt.runner, self.expected(&work.job), work.job.category);
         // Guards against taking a wait behind our own long jobs for silence.
         let full = self.runners[r].running >= self.runners[r].most.max(1.0);
-        let quiet_s = match ho.started {
+        let quiet_s = match attempt.started {
             // Where others' work is not known, it may wait behind theirs as long as any did lately.
             None if self.terms.probes => QUIET_S + 3.0 * run,
             // Guards against others' queues, or a jam, taken for illness: twice the longest last wait.
@@ -915,15 +915,15 @@
             _ => QUIET_S + 3.0 * run,
         };
         // Guards against a queue that no report tells of: what waits there for its start says it is full.
-        let waits = self.terms.probes && ho.started.is_none() && now > ho.sent + PROMPT_S;
-        // Guards against a hand-off never taken by a runner that is well otherwise: taking is said at once.
-        let unsaid = self.terms.tells_taking && ho.moved <= ho.sent && now > ho.sent + QUIET_S;
+        let waits = self.terms.probes && attempt.started.is_none() && now > attempt.sent + PROMPT_S;
+        // Guards against an attempt never taken by a runner that is well otherwise: taking is said at once.
+        let unsaid = self.terms.tells_taking && attempt.moved <= attempt.sent && now > attempt.sent + QUIET_S;
         let spoke = self.runners[r].heard.max(if unsaid { self.runners[r].took } else { 0.0 });
-        let heard = if ho.started.is_some() { ho.moved } else { ho.moved.max(spoke) };
-        let silent = now - heard > quiet_s * (1.0 + ho.doubts as f64);
-        let rerun = self.terms.categories[category].repeat != Repeat::Exclusive;
-        if ho.started.is_none() && now > ho.sent + PROMPT_S {
-            self.runners[r].wait = (now - ho.sent, now);
+        let heard = if attempt.started.is_some() { attempt.moved } else { attempt.moved.max(spoke) };
+        let silent = now - heard > quiet_s * (1.0 + attempt.doubts as f64);
+        let rerun = self.terms.categories[category].repeat != Repeat::AtMostOnce;
+        if attempt.started.is_none() && now > attempt.sent + PROMPT_S {
+            self.runners[r].wait = (now - attempt.sent, now);
         }
         if silent {
             self.works[w as usize].out.as_mut().unwrap().doubts += 1;
@@ -933,13 +933,13 @@
         if waits {
             (self.runners[r].free, self.runners[r].reported) = (0.0, now);
         }
-        let ho = self.works[w as usize].out.as_ref().unwrap();
-        let left = if ho.share > 0.0 { (ho.moved - ho.sent) / ho.share * (1.0 - ho.share) } else { 0.0 };
-        let stuck = ho.doubts > 0 && now - ho.moved > quiet_s || left > 2.0 * run && now + left > self.due(w);
+        let out = self.works[w as usize].out.as_ref().unwrap();
+        let (left, still) = (out.left_s(), out.doubts > 0 && now - out.moved > quiet_s);
+        let stuck = still || left > 2.0 * run && now + left > self.due(w);
         // Guards against answers lost on the way back: a started job tells each beat, so one beat and a half
         // without word means that it has ended or stands still, be its runner well or not.
         let beat = self.terms.progress_s;
-        let ended = ho.started.is_some() && beat > 0.0 && now > ho.moved + 1.5 * beat;
+        let ended = out.started.is_some() && beat > 0.0 && now > out.moved + 1.5 * beat;
         // Only off a runner judged unwell, or that never took it, while another try can still end in time.
         if unsaid {
             self.shun(r, category, now, 6.0);
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -88,9 +88,9 @@
             _ => Scope::All,
         };
         let repeat = match info.text(&path("Repeat")) {
-            "read_like" => Repeat::Rerunnable,
-            "idempotency_key" => Repeat::Ticketed(scope),
-            "non_idempotent" => Repeat::Exclusive,
+            "read_like" => Repeat::Idempotent,
+            "idempotency_key" => Repeat::Keyed(scope),
+            "non_idempotent" => Repeat::AtMostOnce,
             other => return Err(format!("setting {}: '{other}' is not known", path("Repeat"))),
         };
         let stretch = info.number(&path("AimStretch"))?;
@@ -125,8 +125,8 @@
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
         may_cancel: info.yes("Limits.MayCancel")?,
-        max_come_back_s: if retry_after { info.seconds("Limits.MaxRetryAfterUs")? } else { 0.0 },
-        most_hand_offs: info.count("Limits.MostHandOffs")? as u16,
+        max_retry_after_s: if retry_after { info.seconds("Limits.MaxRetryAfterUs")? } else { 0.0 },
+        most_attempts: info.count("Limits.MostHandOffs")? as u16,
         cold_from: info.number("Safety.ColdFrom")?,
         cold_s: info.seconds("Safety.ColdUs")?,
         fall_multiple: info.number("Safety.FallMultiple")?,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,12 +1,12 @@
-//! What the decisions keep of each work item, hand-off and runner.
+//! What the decisions keep of each work item, attempt and runner.
 use crate::pcg::{draw, Pcg};
 use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, LEAST, NEAR, OUTCOMES, REST_S, WAITS};
 use crate::ring::Ring;
 use crate::terms::*;
-use crate::Wi;
+use crate::WorkItem;
 use std::collections::{BTreeMap, VecDeque};
 
-pub struct HandOff {
+pub struct Attempt {
     pub runner: usize,
     pub no: u16,
     pub sent: f64,
@@ -21,9 +21,9 @@
     pub fetches: bool,
 }
 
-impl HandOff {
+impl Attempt {
     pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool, fetches: bool) -> Self {
-        HandOff {
+        Attempt {
             runner,
             no,
             sent,
@@ -38,6 +38,16 @@
     }
 }
 
+impl Attempt {
+    /// How much longer it runs, by its progress.
+    pub fn left_s(&self) -> f64 {
+        match self.share > 0.0 {
+            true => (self.moved - self.sent) / self.share * (1.0 - self.share),
+            false => 0.0,
+        }
+    }
+}
+
 pub struct Work {
     pub job: Job,
     /// When it was first asked for, as far as is known; when it was taken.
@@ -48,7 +58,7 @@
     /// Turned away at the door: what remains does not bear all.
     pub refused: bool,
     pub made: u16,
-    pub out: Option<HandOff>,
+    pub out: Option<Attempt>,
     /// Since when, and on which runner, it may have run.
     pub ran: Option<(f64, usize)>,
     /// The runner that last failed it, passed over until then.
@@ -277,7 +287,7 @@
     pub(crate) probe_times: Ring<f64, 16>,
     pub(crate) fresh_s: f64,
     pub(crate) next_seek: f64,
-    /// How long hand-offs waited for their start, and when that was told.
+    /// How long attempts waited for their start, and when that was told.
     pub(crate) waits: Ring<(f64, f64), WAITS>,
     /// Where work ended of late, and whether by an error.
     pub(crate) errors: Ring<(usize, bool), OUTCOMES>,
@@ -373,10 +383,10 @@
         }
     }
 
-    /// A hand-off has come back.
-    pub fn unload(&mut self, job: &Job, ho: &HandOff) {
+    /// A attempt has come back.
+    pub fn unload(&mut self, job: &Job, attempt: &Attempt) {
         self.load(job, -1.0);
-        self.running -= if ho.started.is_some() { 1.0 } else { 0.0 };
+        self.running -= if attempt.started.is_some() { 1.0 } else { 0.0 };
     }
 
     /// It does not rest, or is due for a trial.
@@ -587,15 +597,15 @@
     }
 
     /// A run has come to its end: the samples of its runner, its category and the fleet.
-    pub(crate) fn measured(&mut self, job: &Job, ho: &HandOff, run: f64, expected: f64) {
-        let runner = &mut self.runners[ho.runner];
+    pub(crate) fn measured(&mut self, job: &Job, attempt: &Attempt, run: f64, expected: f64) {
+        let runner = &mut self.runners[attempt.runner];
         runner.paces.push(run / expected);
         runner.pace = runner.paces.quantile(0.5).unwrap_or(1.0).max(0.1);
         let evidence = &mut runner.shun(job.category).0;
         *evidence = (*evidence - 0.5).max(0.0);
         self.runs[job.category].push(run);
         self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
-        if ho.sent >= self.runners[ho.runner].born() + self.terms.cold_s {
+        if attempt.sent >= self.runners[attempt.runner].born() + self.terms.cold_s {
             self.warm_runs[job.category].push(run);
         }
         let warm = self.warm_runs[job.category].mean();
@@ -606,7 +616,7 @@
                 self.usual[job.category] / self.hints[job.category].mean().unwrap_or(run);
         }
         self.ratios.push(run / expected);
-        if ho.fetches && job.key != 0 {
+        if attempt.fetches && job.key != 0 {
             self.fetches.push(run - expected);
         }
     }
@@ -633,7 +643,7 @@
     }
 
     /// A probe has come back, with a report where it was answered. Without one the runner counts as full for
-    /// a moment. Guards against a cut: who cannot be reached is left alone, as after a failed hand-off.
+    /// a moment. Guards against a cut: who cannot be reached is left alone, as after a failed attempt.
     pub fn probed(&mut self, now: f64, r: usize, outcome: Outcome, report: &[f32]) {
         let Some(runner) = self.runners.get_mut(r) else { return };
         self.probe_times.push(runner.probed.take().map_or(0.0, |t| now - t));
@@ -702,7 +712,7 @@
         if work.live && work.ended && work.out.is_none() {
             work.live = false;
             self.free.push(w);
-            host.forget(Wi(w));
+            host.forget(WorkItem(w));
         }
     }
 
@@ -715,7 +725,7 @@
     pub(crate) fn repeat_by(&self, w: u32) -> f64 {
         let category = self.category(w);
         match (self.works[w as usize].ran, category.repeat) {
-            (Some((since, _)), Repeat::Ticketed(_)) => since + category.window_s - 0.05,
+            (Some((since, _)), Repeat::Keyed(_)) => since + category.window_s - 0.05,
             _ => f64::INFINITY,
         }
     }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -1,14 +1,14 @@
 //! What is agreed at start, what arrives, and what the decisions may ask of their host.
-use crate::Wi;
+use crate::WorkItem;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
-    Rerunnable,
-    Ticketed(Scope),
-    Exclusive,
+    Idempotent,
+    Keyed(Scope),
+    AtMostOnce,
 }
 
-/// The runners that drop a ticketed work item's repeats.
+/// The runners that drop a keyed work item's repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     All,
@@ -46,14 +46,14 @@
     pub zone: u16,
     /// What crosses zones costs more than a fetch does.
     pub keeps_zone: bool,
-    /// Runners say at once that they take a hand-off, apart from its start.
+    /// Runners say at once that they take an attempt, apart from its start.
     pub tells_taking: bool,
     pub tells_start: bool,
     pub progress_s: f64,
     pub may_cancel: bool,
     /// The longest wait a client follows; zero where no advice is passed on.
-    pub max_come_back_s: f64,
-    pub most_hand_offs: u16,
+    pub max_retry_after_s: f64,
+    pub most_attempts: u16,
     pub cold_from: f64,
     pub cold_s: f64,
     pub fall_multiple: f64,
@@ -158,13 +158,13 @@
 pub trait Host {
     fn now(&self) -> f64;
     /// Given up at `drop_at`; never begun from `begin_by` on.
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, begin_by: f64);
-    fn defer(&mut self, wi: Wi, come_back_s: f64);
-    fn write_off(&mut self, wi: Wi);
-    fn cancel(&mut self, wi: Wi, ho: u16);
+    fn send_attempt(&mut self, work_item: WorkItem, runner: usize, drop_at: f64, begin_by: f64);
+    fn defer(&mut self, work_item: WorkItem, retry_after_s: f64);
+    fn write_off(&mut self, work_item: WorkItem);
+    fn cancel(&mut self, work_item: WorkItem, attempt: u16);
     fn probe(&mut self, runner: usize);
     /// The handle is void from here on and may be given out again.
-    fn forget(&mut self, wi: Wi);
+    fn forget(&mut self, work_item: WorkItem);
     fn wake(&mut self, in_s: f64);
     fn watch(&mut self);
     /// Silence of a runner, or a job that stands still there, has just been counted against it.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -5,7 +5,7 @@
 use sagetrail_policy::*;
 use std::collections::{BTreeMap, VecDeque};
 
-const RERUNNABLE: usize = 0;
+const IDEMPOTENT: usize = 0;
 
 const FLEET: usize = 30;
 /// Runners are replaced from here on, when all have learnt how long work takes.
@@ -38,7 +38,7 @@
 }
 
 /// One job at a runner: whose, which, its attempt, its size.
-type Sent = (usize, Wi, u16, f64);
+type Sent = (usize, WorkItem, u16, f64);
 
 #[derive(Default)]
 struct Machine {
@@ -120,35 +120,35 @@
             // Some see several times the mean.
             let own = if me % 10 == 0 { 3.0 } else { 0.8 };
             if pcg.next() < herd * own * rate / FLEET as f64 * TICK_S {
-                let job = Job { expiry: now + 6.0, ..job(RERUNNABLE, 0) };
-                let wi = member.d.take(now, job).unwrap();
-                member.attempts.insert(wi.0, 0);
-                member.sizes.insert(wi.0, -days.mean_s * (1.0 - pcg.next()).ln());
+                let job = Job { expiry: now + 6.0, ..job(IDEMPOTENT, 0) };
+                let work_item = member.d.take(now, job).unwrap();
+                member.attempts.insert(work_item.0, 0);
+                member.sizes.insert(work_item.0, -days.mean_s * (1.0 - pcg.next()).ln());
             }
             member.d.decide(&mut member.host);
             for asked in std::mem::take(&mut member.host.asked) {
                 match asked {
                     // Who has not heard yet finds nobody at the former one's address.
-                    HandOff(wi, r) if member.hears.iter().any(|(_, other)| *other == r) => {
-                        let no = member.attempts[&wi.0];
-                        member.attempts.insert(wi.0, no + 1);
-                        member.host.come(&mut member.d, wi, no, Outcome::NoConnection);
+                    Attempt(work_item, r) if member.hears.iter().any(|(_, other)| *other == r) => {
+                        let no = member.attempts[&work_item.0];
+                        member.attempts.insert(work_item.0, no + 1);
+                        member.host.come(&mut member.d, work_item, no, Outcome::NoConnection);
                     }
-                    HandOff(wi, r) => {
-                        let (no, size) = (member.attempts[&wi.0], member.sizes[&wi.0]);
-                        member.attempts.insert(wi.0, no + 1);
-                        machines[r].waits.push_back((me, wi, no, size));
+                    Attempt(work_item, r) => {
+                        let (no, size) = (member.attempts[&work_item.0], member.sizes[&work_item.0]);
+                        member.attempts.insert(work_item.0, no + 1);
+                        machines[r].waits.push_back((me, work_item, no, size));
                         if machines[r].born.is_some() {
                             machines[r].sent.push(now);
                         }
-                        wi.accepted(&mut member.d, now, no);
+                        work_item.accepted(&mut member.d, now, no);
                     }
-                    Cancel(wi, no) => {
+                    Cancel(work_item, no) => {
                         machines.iter_mut().for_each(|m| {
-                            m.waits.retain(|job| (job.0, job.1, job.2) != (me, wi, no));
-                            m.runs.retain(|(_, job)| (job.0, job.1, job.2) != (me, wi, no));
+                            m.waits.retain(|job| (job.0, job.1, job.2) != (me, work_item, no));
+                            m.runs.retain(|(_, job)| (job.0, job.1, job.2) != (me, work_item, no));
                         });
-                        member.host.come(&mut member.d, wi, no, Outcome::Cancelled);
+                        member.host.come(&mut member.d, work_item, no, Outcome::Cancelled);
                     }
                     _ => {}
                 }
@@ -156,9 +156,9 @@
         }
         for machine in &mut machines {
             let pace = machine.born.map_or(1.0, |born| warmth(now - born, &terms));
-            for (_, (me, wi, no, _)) in machine.runs.extract_if(.., |(ends, _)| *ends <= now) {
+            for (_, (me, work_item, no, _)) in machine.runs.extract_if(.., |(ends, _)| *ends <= now) {
                 if let Some(Member { d, host, .. }) = members.get_mut(me) {
-                    host.come(d, wi, no, Outcome::Finished);
+                    host.come(d, work_item, no, Outcome::Finished);
                 }
             }
             while machine.runs.len() < days.slots {
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -3,10 +3,10 @@
 
 #[derive(Debug, PartialEq, Clone)]
 pub enum Asked {
-    HandOff(Wi, usize),
-    Defer(Wi, f64),
-    WriteOff(Wi),
-    Cancel(Wi, u16),
+    Attempt(WorkItem, usize),
+    Defer(WorkItem, f64),
+    WriteOff(WorkItem),
+    Cancel(WorkItem, u16),
     Watch,
     Probe(usize),
 }
@@ -24,22 +24,22 @@
     fn now(&self) -> f64 {
         self.now
     }
-    fn hand_off(&mut self, wi: Wi, runner: usize, _: f64, _: f64) {
-        self.asked.push(HandOff(wi, runner));
+    fn send_attempt(&mut self, work_item: WorkItem, runner: usize, _: f64, _: f64) {
+        self.asked.push(Attempt(work_item, runner));
     }
-    fn defer(&mut self, wi: Wi, come_back_s: f64) {
-        self.asked.push(Defer(wi, come_back_s));
+    fn defer(&mut self, work_item: WorkItem, retry_after_s: f64) {
+        self.asked.push(Defer(work_item, retry_after_s));
     }
-    fn write_off(&mut self, wi: Wi) {
-        self.asked.push(WriteOff(wi));
+    fn write_off(&mut self, work_item: WorkItem) {
+        self.asked.push(WriteOff(work_item));
     }
-    fn cancel(&mut self, wi: Wi, ho: u16) {
-        self.asked.push(Cancel(wi, ho));
+    fn cancel(&mut self, work_item: WorkItem, attempt: u16) {
+        self.asked.push(Cancel(work_item, attempt));
     }
     fn probe(&mut self, runner: usize) {
         self.asked.push(Probe(runner));
     }
-    fn forget(&mut self, _: Wi) {}
+    fn forget(&mut self, _: WorkItem) {}
     fn wake(&mut self, in_s: f64) {
         self.wake = self.now + in_s;
     }
@@ -52,7 +52,7 @@
 }
 
 pub const CATEGORIES: [Repeat; 4] =
-    [Repeat::Rerunnable, Repeat::Ticketed(Scope::Cell), Repeat::Exclusive, Repeat::Ticketed(Scope::All)];
+    [Repeat::Idempotent, Repeat::Keyed(Scope::Cell), Repeat::AtMostOnce, Repeat::Keyed(Scope::All)];
 
 pub fn terms() -> Terms {
     let category = |repeat| Category {
@@ -69,8 +69,8 @@
         tells_start: true,
         progress_s: 1.0,
         may_cancel: true,
-        max_come_back_s: 2.0,
-        most_hand_offs: 3,
+        max_retry_after_s: 2.0,
+        most_attempts: 3,
         cold_from: 0.1,
         cold_s: 20.0,
         fall_multiple: 3.0,
@@ -103,23 +103,23 @@
     pub fn learn_fetches(&mut self, d: &mut Dispatcher, runners: usize) {
         for n in 0..64 {
             let both = [0, 0].map(|category| self.take(d, category, 100 + n));
-            for (wi, takes_s) in both.into_iter().zip([0.1, 0.8]) {
+            for (work_item, takes_s) in both.into_iter().zip([0.1, 0.8]) {
                 self.now += takes_s;
-                self.come(d, wi, 0, Outcome::Finished);
+                self.come(d, work_item, 0, Outcome::Finished);
             }
         }
         self.asked.clear();
         let fresh = |r| (r, Some(Listed { born: self.now - 50.0, ..runner(r as u64) }));
         d.listed(self.now, News::Changes, &(0..runners).map(fresh).collect::<Vec<_>>());
     }
-    pub fn take(&mut self, d: &mut Dispatcher, category: usize, key: u32) -> Wi {
+    pub fn take(&mut self, d: &mut Dispatcher, category: usize, key: u32) -> WorkItem {
         let expiry = self.now + 10.0;
-        let wi = d.take(self.now, Job { expiry, ..job(category, key) }).unwrap();
+        let work_item = d.take(self.now, Job { expiry, ..job(category, key) }).unwrap();
         d.decide(self);
-        wi
+        work_item
     }
-    pub fn come(&mut self, d: &mut Dispatcher, wi: Wi, no: u16, outcome: Outcome) {
-        wi.outcome(d, self, no, outcome, outcome == Outcome::Finished);
+    pub fn come(&mut self, d: &mut Dispatcher, work_item: WorkItem, no: u16, outcome: Outcome) {
+        work_item.outcome(d, self, no, outcome, outcome == Outcome::Finished);
         d.decide(self);
     }
     pub fn probed(&mut self, d: &mut Dispatcher, runner: usize, report: &[f32]) {
@@ -134,12 +134,12 @@
             d.decide(self);
         }
     }
-    pub fn sent_to(&self, wi: Wi) -> Vec<usize> {
-        let to = |a: &Asked| if let HandOff(w, r) = a { (*w == wi).then_some(*r) } else { None };
+    pub fn sent_to(&self, work_item: WorkItem) -> Vec<usize> {
+        let to = |a: &Asked| if let Attempt(w, r) = a { (*w == work_item).then_some(*r) } else { None };
         self.asked.iter().filter_map(to).collect()
     }
-    pub fn ends(&self, wi: Wi) -> Vec<Asked> {
-        let end = |a: &&Asked| matches!(a, Defer(w, _) | WriteOff(w) if *w == wi);
+    pub fn ends(&self, work_item: WorkItem) -> Vec<Asked> {
+        let end = |a: &&Asked| matches!(a, Defer(w, _) | WriteOff(w) if *w == work_item);
         self.asked.iter().filter(end).cloned().collect()
     }
 }
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -3,14 +3,14 @@
 use fake::*;
 use sagetrail_policy::*;
 
-const RERUNNABLE: usize = 0;
-const TICKETED: usize = 1;
-const EXCLUSIVE: usize = 2;
+const IDEMPOTENT: usize = 0;
+const KEYED: usize = 1;
+const AT_MOST_ONCE: usize = 2;
 
 #[test]
 fn work_is_held_until_a_runner_has_room() {
     let (mut d, mut host) = start(terms(), 1);
-    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
+    let all: Vec<WorkItem> = (0..3).map(|_| host.take(&mut d, IDEMPOTENT, 0)).collect();
     assert_eq!(host.sent_to(all[1]), [0], "the cap starts at two slots");
     assert!(host.sent_to(all[2]).is_empty());
     host.come(&mut d, all[0], 0, Outcome::Finished);
@@ -20,11 +20,11 @@
 #[test]
 fn a_key_draws_its_work_to_the_runner_that_served_it() {
     let (mut d, mut host) = start(terms(), 8);
-    let first = host.take(&mut d, RERUNNABLE, 42);
+    let first = host.take(&mut d, IDEMPOTENT, 42);
     host.come(&mut d, first, 0, Outcome::Finished);
     let holder = host.sent_to(first)[0];
     host.asked.clear();
-    let again = host.take(&mut d, RERUNNABLE, 42);
+    let again = host.take(&mut d, IDEMPOTENT, 42);
     assert_eq!(host.sent_to(again), [holder]);
 }
 
@@ -35,8 +35,8 @@
         let entries: Vec<_> = (0..8).map(|r| (r, Some(runner(r as u64)))).collect();
         d.listed(100.0, News::Cached, &entries);
         let mut host = Fake { now: 100.0, ..Fake::default() };
-        let wi = host.take(&mut d, RERUNNABLE, 42);
-        host.sent_to(wi)
+        let work_item = host.take(&mut d, IDEMPOTENT, 42);
+        host.sent_to(work_item)
     };
     assert!((1..20).all(|seed| sends(seed) == sends(0)));
 }
@@ -45,7 +45,7 @@
 fn work_waits_a_little_for_a_busy_holder_and_then_goes_elsewhere() {
     let (mut d, mut host) = start(terms(), 2);
     host.learn_fetches(&mut d, 2);
-    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
+    let all: Vec<WorkItem> = (0..3).map(|_| host.take(&mut d, IDEMPOTENT, 42)).collect();
     let home = host.sent_to(all[0])[0];
     assert_eq!(host.sent_to(all[1]), [home]);
     assert!(host.sent_to(all[2]).is_empty(), "the holder is full, the other one has room");
@@ -56,19 +56,19 @@
 #[test]
 fn exclusive_work_that_may_have_run_is_written_off_at_once() {
     let (mut d, mut host) = start(terms(), 3);
-    let wi = host.take(&mut d, EXCLUSIVE, 0);
-    host.come(&mut d, wi, 0, Outcome::Error);
-    assert_eq!(host.ends(wi), [WriteOff(wi)]);
-    assert_eq!(host.sent_to(wi).len(), 1);
+    let work_item = host.take(&mut d, AT_MOST_ONCE, 0);
+    host.come(&mut d, work_item, 0, Outcome::Error);
+    assert_eq!(host.ends(work_item), [WriteOff(work_item)]);
+    assert_eq!(host.sent_to(work_item).len(), 1);
 }
 
 #[test]
 fn exclusive_work_proven_not_run_goes_to_another_runner() {
     for outcome in [Outcome::Full, Outcome::NoConnection, Outcome::Moot] {
         let (mut d, mut host) = start(terms(), 3);
-        let wi = host.take(&mut d, EXCLUSIVE, 0);
-        host.come(&mut d, wi, 0, outcome);
-        let sent = host.sent_to(wi);
+        let work_item = host.take(&mut d, AT_MOST_ONCE, 0);
+        host.come(&mut d, work_item, 0, outcome);
+        let sent = host.sent_to(work_item);
         assert_eq!(sent.len(), 2);
         assert_ne!(sent[0], sent[1]);
     }
@@ -77,69 +77,73 @@
 #[test]
 fn ticketed_work_is_resent_only_in_its_cell_and_window() {
     let (mut d, mut host) = start(terms(), 3);
-    let wi = host.take(&mut d, TICKETED, 0);
-    host.come(&mut d, wi, 0, Outcome::Error);
+    let work_item = host.take(&mut d, KEYED, 0);
+    host.come(&mut d, work_item, 0, Outcome::Error);
     host.pass(&mut d, 2.0);
-    let sent = host.sent_to(wi);
+    let sent = host.sent_to(work_item);
     assert_eq!(sent.len(), 2);
     assert_eq!(sent[0], sent[1], "each runner is a cell of its own");
     host.now += 2.0;
-    host.come(&mut d, wi, 1, Outcome::Error);
-    assert_eq!(host.ends(wi), [WriteOff(wi)], "the window is over, and a cell's work is not deferred");
+    host.come(&mut d, work_item, 1, Outcome::Error);
+    assert_eq!(
+        host.ends(work_item),
+        [WriteOff(work_item)],
+        "the window is over, and a cell's work is not deferred"
+    );
 }
 
 #[test]
 fn the_most_hand_offs_are_kept_and_the_rest_deferred_with_a_time() {
     let (mut d, mut host) = start(terms(), 5);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    (0..3).for_each(|no| host.come(&mut d, wi, no, Outcome::Error));
-    assert_eq!(host.sent_to(wi).len(), 3);
-    assert!(matches!(host.ends(wi)[..], [Defer(_, s)] if s > 0.0 && s <= 2.0));
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    (0..3).for_each(|no| host.come(&mut d, work_item, no, Outcome::Error));
+    assert_eq!(host.sent_to(work_item).len(), 3);
+    assert!(matches!(host.ends(work_item)[..], [Defer(_, s)] if s > 0.0 && s <= 2.0));
 }
 
 #[test]
 fn a_draining_runner_gets_nothing_new() {
     let (mut d, mut host) = start(terms(), 1);
     d.listed(100.0, News::Changes, &[(0, Some(Listed { ready: false, ..runner(0) })), (1, Some(runner(1)))]);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert_eq!(host.sent_to(wi), [1]);
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    assert_eq!(host.sent_to(work_item), [1]);
     d.listed(100.0, News::Whole, &[(0, Some(runner(0)))]);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert_eq!(host.sent_to(wi), [0], "a whole list that drops a runner ends it");
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    assert_eq!(host.sent_to(work_item), [0], "a whole list that drops a runner ends it");
 }
 
 #[test]
 fn work_with_no_runner_left_is_deferred_at_once() {
     let (mut d, mut host) = start(terms(), 1);
     d.listed(100.0, News::Changes, &[(0, None)]);
-    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    let work_item = host.take(&mut d, AT_MOST_ONCE, 0);
     host.pass(&mut d, 0.1);
-    assert!(matches!(host.ends(wi)[..], [Defer(..)]));
+    assert!(matches!(host.ends(work_item)[..], [Defer(..)]));
 }
 
 #[test]
 fn work_that_arrives_at_its_expiry_is_answered_in_the_same_batch() {
     let (mut d, mut host) = start(terms(), 0);
     host.pass(&mut d, 0.1);
-    let wi = d.take(host.now, Job { expiry: host.now, ..job(RERUNNABLE, 0) }).unwrap();
+    let work_item = d.take(host.now, Job { expiry: host.now, ..job(IDEMPOTENT, 0) }).unwrap();
     d.decide(&mut host);
-    assert_eq!(host.ends(wi).len(), 1);
+    assert_eq!(host.ends(work_item).len(), 1);
 }
 
 #[test]
 fn a_timeout_at_expiry_is_written_off_and_never_sent_again() {
     let (mut d, mut host) = start(terms(), 2);
-    let wi = host.take(&mut d, EXCLUSIVE, 0);
+    let work_item = host.take(&mut d, AT_MOST_ONCE, 0);
     host.now += 10.0;
-    host.come(&mut d, wi, 0, Outcome::Timeout);
+    host.come(&mut d, work_item, 0, Outcome::Timeout);
     host.pass(&mut d, 1.0);
-    assert_eq!((host.ends(wi), host.sent_to(wi).len()), (vec![WriteOff(wi)], 1));
+    assert_eq!((host.ends(work_item), host.sent_to(work_item).len()), (vec![WriteOff(work_item)], 1));
 }
 
 #[test]
 fn a_wake_a_rounding_error_early_does_not_end_the_looks() {
     let (mut d, mut host) = start(terms(), 0);
-    d.take(host.now, job(RERUNNABLE, 0)).unwrap();
+    d.take(host.now, job(IDEMPOTENT, 0)).unwrap();
     d.listed(host.now, News::Changes, &[(0, Some(runner(0)))]);
     d.decide(&mut host);
     for _ in 0..20 {
@@ -155,22 +159,22 @@
     d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0, ..runner(0) }))]);
     // Two slots held likely: 1.4 x 3 x (0.75 x 2 x 0.1) x 1 s = 0.63 s of work, one item of 0.5 s for who
     // ranks first, and this one is the second.
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert!(host.sent_to(wi).is_empty());
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    assert!(host.sent_to(work_item).is_empty());
     host.pass(&mut d, 4.5);
-    assert_eq!(host.sent_to(wi), [0], "it warms up, and the part grows");
+    assert_eq!(host.sent_to(work_item), [0], "it warms up, and the part grows");
 }
 
 #[test]
 fn a_silent_runner_is_rested_and_its_work_sent_elsewhere() {
     let (mut d, mut host) = start(terms(), 2);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    let hung = host.sent_to(wi)[0];
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    let hung = host.sent_to(work_item)[0];
     host.pass(&mut d, 1.2);
-    assert!(host.asked.contains(&Cancel(wi, 0)));
+    assert!(host.asked.contains(&Cancel(work_item, 0)));
     assert_eq!(host.logged, [format!("{hung} judged unwell, rests")]);
-    host.come(&mut d, wi, 0, Outcome::Cancelled);
-    assert_eq!(host.sent_to(wi), [hung, 1 - hung]);
+    host.come(&mut d, work_item, 0, Outcome::Cancelled);
+    assert_eq!(host.sent_to(work_item), [hung, 1 - hung]);
 }
 
 #[test]
@@ -178,35 +182,38 @@
     let (mut d, mut host) = start(terms(), 2);
     let mut bad = Vec::new();
     for _ in 0..12 {
-        let wi = host.take(&mut d, RERUNNABLE, 0);
-        while host.sent_to(wi).last() == Some(&0) {
+        let work_item = host.take(&mut d, IDEMPOTENT, 0);
+        while host.sent_to(work_item).last() == Some(&0) {
             bad.push(host.now);
-            host.come(&mut d, wi, host.sent_to(wi).len() as u16 - 1, Outcome::Error);
+            host.come(&mut d, work_item, host.sent_to(work_item).len() as u16 - 1, Outcome::Error);
         }
-        let last = host.sent_to(wi).len() as u16 - 1;
-        host.come(&mut d, wi, last, Outcome::Finished);
+        let last = host.sent_to(work_item).len() as u16 - 1;
+        host.come(&mut d, work_item, last, Outcome::Finished);
         host.asked.clear();
     }
     assert_eq!(bad.len(), 2, "two errors are enough");
     host.pass(&mut d, 1.6);
-    let all: Vec<Wi> = (0..3).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
-    assert!(all.iter().filter(|wi| host.sent_to(**wi).contains(&0)).count() <= 1, "a single trial");
+    let all: Vec<WorkItem> = (0..3).map(|_| host.take(&mut d, IDEMPOTENT, 0)).collect();
+    assert!(
+        all.iter().filter(|work_item| host.sent_to(**work_item).contains(&0)).count() <= 1,
+        "a single trial"
+    );
 }
 
 #[test]
 fn a_connection_that_had_died_says_nothing_of_its_runner() {
     let (mut d, mut host) = start(terms(), 1);
     for _ in 0..5 {
-        let wi = host.take(&mut d, RERUNNABLE, 0);
-        host.come(&mut d, wi, 0, Outcome::Stale);
-        assert_eq!(host.sent_to(wi), [0, 0], "straight back, on another connection");
-        host.come(&mut d, wi, 1, Outcome::Stale);
-        host.come(&mut d, wi, 2, Outcome::Finished);
+        let work_item = host.take(&mut d, IDEMPOTENT, 0);
+        host.come(&mut d, work_item, 0, Outcome::Stale);
+        assert_eq!(host.sent_to(work_item), [0, 0], "straight back, on another connection");
+        host.come(&mut d, work_item, 1, Outcome::Stale);
+        host.come(&mut d, work_item, 2, Outcome::Finished);
         host.asked.clear();
     }
-    let wi = host.take(&mut d, EXCLUSIVE, 0);
-    host.come(&mut d, wi, 0, Outcome::Stale);
-    assert_eq!(host.ends(wi), [WriteOff(wi)], "it may have run");
+    let work_item = host.take(&mut d, AT_MOST_ONCE, 0);
+    host.come(&mut d, work_item, 0, Outcome::Stale);
+    assert_eq!(host.ends(work_item), [WriteOff(work_item)], "it may have run");
     assert!(host.logged.is_empty());
 }
 
@@ -214,7 +221,7 @@
 fn a_wait_behind_long_jobs_of_our_own_is_no_silence() {
     let (mut d, mut host) = start(terms(), 2);
     host.learn_fetches(&mut d, 2);
-    let [long, next] = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 42));
+    let [long, next] = [0, 1].map(|_| host.take(&mut d, IDEMPOTENT, 42));
     assert_eq!(host.sent_to(long), host.sent_to(next));
     long.started(&mut d, host.now, 0);
     host.pass(&mut d, 1.0);
@@ -224,38 +231,39 @@
 #[test]
 fn a_start_told_twice_is_one_start_and_in_time() {
     let (mut d, mut host) = start(terms(), 1);
-    let both = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 0));
-    both.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+    let both = [0, 1].map(|_| host.take(&mut d, IDEMPOTENT, 0));
+    both.iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Finished));
     host.asked.clear();
-    let first = host.take(&mut d, RERUNNABLE, 0);
+    let first = host.take(&mut d, IDEMPOTENT, 0);
     first.started(&mut d, host.now, 0);
     host.now += 0.2;
     first.started(&mut d, host.now, 0);
-    let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
-    assert_eq!(all.map(|wi| host.sent_to(wi).len()), [1, 1, 0], "three slots, as before");
+    let all = [0, 1, 2].map(|_| host.take(&mut d, IDEMPOTENT, 0));
+    assert_eq!(all.map(|work_item| host.sent_to(work_item).len()), [1, 1, 0], "three slots, as before");
 }
 
 #[test]
 fn a_slot_that_a_lost_job_holds_is_ours_again_soon() {
     let (mut d, mut host) = start(terms(), 1);
     let run = |d: &mut Dispatcher, host: &mut Fake, late: f64| {
-        let all = [0, 1, 2].map(|_| host.take(d, RERUNNABLE, 0));
-        let out: Vec<Wi> = all.into_iter().filter(|wi| !host.sent_to(*wi).is_empty()).collect();
-        out[1..].iter().for_each(|wi| wi.started(d, host.now, 0));
+        let all = [0, 1, 2].map(|_| host.take(d, IDEMPOTENT, 0));
+        let out: Vec<WorkItem> =
+            all.into_iter().filter(|work_item| !host.sent_to(*work_item).is_empty()).collect();
+        out[1..].iter().for_each(|work_item| work_item.started(d, host.now, 0));
         host.now += late;
         out[0].started(d, host.now, 0);
-        all.iter().for_each(|wi| host.come(d, *wi, 0, Outcome::Finished));
+        all.iter().for_each(|work_item| host.come(d, *work_item, 0, Outcome::Finished));
         host.asked.clear();
         out.len()
     };
     assert_eq!([run(&mut d, &mut host, 0.0), run(&mut d, &mut host, 0.0)], [2, 3]);
-    let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
+    let all = [0, 1, 2].map(|_| host.take(&mut d, IDEMPOTENT, 0));
     // A lost job holds one of the three slots: two start, the third only when one of them has ended.
-    all[..2].iter().for_each(|wi| wi.started(&mut d, host.now, 0));
+    all[..2].iter().for_each(|work_item| work_item.started(&mut d, host.now, 0));
     host.now += 0.2;
     host.come(&mut d, all[0], 0, Outcome::Finished);
     all[2].started(&mut d, host.now, 0);
-    all[1..].iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+    all[1..].iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Finished));
     host.asked.clear();
     host.now += 1.5;
     assert_eq!([run(&mut d, &mut host, 0.0), run(&mut d, &mut host, 0.0)], [2, 3], "not only after 10 s");
@@ -264,34 +272,34 @@
 #[test]
 fn a_trial_that_runs_on_lets_another_follow() {
     let (mut d, mut host) = start(terms(), 2);
-    for category in [RERUNNABLE, EXCLUSIVE].repeat(4) {
-        for wi in [0, 1].map(|_| host.take(&mut d, category, 0)) {
-            if host.sent_to(wi) == [0] {
-                host.come(&mut d, wi, 0, Outcome::Error);
+    for category in [IDEMPOTENT, AT_MOST_ONCE].repeat(4) {
+        for work_item in [0, 1].map(|_| host.take(&mut d, category, 0)) {
+            if host.sent_to(work_item) == [0] {
+                host.come(&mut d, work_item, 0, Outcome::Error);
             }
-            if host.ends(wi).is_empty() {
-                host.come(&mut d, wi, host.sent_to(wi).len() as u16 - 1, Outcome::Finished);
+            if host.ends(work_item).is_empty() {
+                host.come(&mut d, work_item, host.sent_to(work_item).len() as u16 - 1, Outcome::Finished);
             }
         }
         host.asked.clear();
     }
     host.pass(&mut d, 1.6);
-    let trials = |host: &Fake| host.asked.iter().filter(|a| matches!(a, HandOff(_, 0))).count();
-    let all: Vec<Wi> = (0..8).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
-    let trial = all.into_iter().find(|wi| host.sent_to(*wi) == [0]).unwrap();
+    let trials = |host: &Fake| host.asked.iter().filter(|a| matches!(a, Attempt(_, 0))).count();
+    let all: Vec<WorkItem> = (0..8).map(|_| host.take(&mut d, IDEMPOTENT, 0)).collect();
+    let trial = all.into_iter().find(|work_item| host.sent_to(*work_item) == [0]).unwrap();
     trial.started(&mut d, host.now, 0);
     host.pass(&mut d, 0.5);
     assert_eq!(trials(&host), 1, "it rested");
     host.pass(&mut d, 1.2);
-    host.take(&mut d, RERUNNABLE, 0);
+    host.take(&mut d, IDEMPOTENT, 0);
     assert_eq!(trials(&host), 2);
 }
 
 #[test]
 fn one_failed_connection_does_not_rest_a_runner() {
     let (mut d, mut host) = start(terms(), 2);
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    host.come(&mut d, wi, 0, Outcome::NoConnection);
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    host.come(&mut d, work_item, 0, Outcome::NoConnection);
     host.pass(&mut d, 0.2);
     assert!(host.logged.is_empty());
 }
@@ -302,13 +310,13 @@
     let mut failed = 0;
     for n in 0..60 {
         // Most of its work of the other category ends well.
-        let category = if n % 6 == 0 { RERUNNABLE } else { TICKETED };
-        let wi = host.take(&mut d, category, 0);
+        let category = if n % 6 == 0 { IDEMPOTENT } else { KEYED };
+        let work_item = host.take(&mut d, category, 0);
         for no in 0..3 {
-            let Some(&r) = host.sent_to(wi).get(no) else { break };
-            let bad = category == RERUNNABLE && r == 0;
+            let Some(&r) = host.sent_to(work_item).get(no) else { break };
+            let bad = category == IDEMPOTENT && r == 0;
             failed += bad as usize;
-            host.come(&mut d, wi, no as u16, if bad { Outcome::Error } else { Outcome::Finished });
+            host.come(&mut d, work_item, no as u16, if bad { Outcome::Error } else { Outcome::Finished });
         }
         host.now += 0.02;
         host.asked.clear();
@@ -319,7 +327,7 @@
 
 #[test]
 fn work_that_its_runner_does_not_take_is_called_off_though_the_runner_is_well() {
-    for (category, moves) in [(RERUNNABLE, true), (EXCLUSIVE, false)] {
+    for (category, moves) in [(IDEMPOTENT, true), (AT_MOST_ONCE, false)] {
         let (mut d, mut host) = start(Terms { tells_taking: true, ..terms() }, 1);
         let [lost, well] = [0, 1].map(|_| host.take(&mut d, category, 0));
         well.accepted(&mut d, host.now, 0);
@@ -337,12 +345,12 @@
 fn not_everyone_is_rested_at_once() {
     let (mut d, mut host) = start(terms(), 2);
     for _ in 0..8 {
-        let wi = host.take(&mut d, RERUNNABLE, 0);
+        let work_item = host.take(&mut d, IDEMPOTENT, 0);
         for no in 0..3 {
-            host.come(&mut d, wi, no, Outcome::Error);
+            host.come(&mut d, work_item, no, Outcome::Error);
             host.pass(&mut d, 1.1);
         }
-        assert!(!host.sent_to(wi).is_empty());
+        assert!(!host.sent_to(work_item).is_empty());
         host.asked.clear();
     }
 }
@@ -354,7 +362,7 @@
     for _ in 0..10 {
         host.pass(&mut d, 2.0);
         asked += host.asked.drain(..).filter(|a| *a == Watch).count();
-        d.list_failed(host.now);
+        d.discovery_failed(host.now);
     }
     assert!(asked >= 8, "{asked} calls in 20 s of failures");
     host.pass(&mut d, 2.0);
@@ -378,7 +386,7 @@
             host.now
         };
         let first = ask(&mut d);
-        d.list_failed(first);
+        d.discovery_failed(first);
         (first, ask(&mut d) - first)
     };
     let all: Vec<(f64, f64)> = (0..100).map(asks).collect();
@@ -402,10 +410,10 @@
             .map(|me| {
                 let (mut d, mut host) = one_of_many(me);
                 let keys = (0..63).map(|n| if frequent { 42 } else { 100 + n });
-                let before: Vec<Wi> = keys.map(|key| host.take(&mut d, RERUNNABLE, key)).collect();
-                before.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
-                let wi = host.take(&mut d, RERUNNABLE, 42);
-                *host.sent_to(wi).last().unwrap()
+                let before: Vec<WorkItem> = keys.map(|key| host.take(&mut d, IDEMPOTENT, key)).collect();
+                before.iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Finished));
+                let work_item = host.take(&mut d, IDEMPOTENT, 42);
+                *host.sent_to(work_item).last().unwrap()
             })
             .collect();
         used.sort_unstable();
@@ -420,43 +428,43 @@
 fn among_many_a_runner_where_work_waited_is_left_a_while() {
     let (mut d, mut host) = one_of_many(0);
     for _ in 0..64 {
-        let wi = host.take(&mut d, RERUNNABLE, 42);
-        host.come(&mut d, wi, 0, Outcome::Finished);
+        let work_item = host.take(&mut d, IDEMPOTENT, 42);
+        host.come(&mut d, work_item, 0, Outcome::Finished);
     }
     host.asked.clear();
-    let wi = host.take(&mut d, RERUNNABLE, 42);
-    let home = host.sent_to(wi)[0];
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
+    let home = host.sent_to(work_item)[0];
     host.now += 0.4;
-    wi.started(&mut d, host.now, 0);
-    host.come(&mut d, wi, 0, Outcome::Finished);
+    work_item.started(&mut d, host.now, 0);
+    host.come(&mut d, work_item, 0, Outcome::Finished);
     host.pass(&mut d, 0.2);
-    d.carry_usual(RERUNNABLE, 0.1);
-    let again = host.take(&mut d, RERUNNABLE, 42);
+    d.carry_usual(IDEMPOTENT, 0.1);
+    let again = host.take(&mut d, IDEMPOTENT, 42);
     assert_ne!(host.sent_to(again).last(), Some(&home), "others' work stands in its queue");
     host.come(&mut d, again, 0, Outcome::Finished);
     host.pass(&mut d, 40.0);
-    let later = host.take(&mut d, RERUNNABLE, 42);
+    let later = host.take(&mut d, IDEMPOTENT, 42);
     assert_eq!(host.sent_to(later).last(), Some(&home), "{:?}", host.asked);
 }
 
 #[test]
 fn among_many_a_wait_for_the_start_is_others_work_and_no_illness() {
     let (mut d, mut host) = one_of_many(0);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
-    wi.accepted(&mut d, host.now, 0);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
+    work_item.accepted(&mut d, host.now, 0);
     host.pass(&mut d, 1.2);
-    assert!(host.logged.is_empty() && !host.asked.contains(&Cancel(wi, 0)), "{:?}", host.logged);
+    assert!(host.logged.is_empty() && !host.asked.contains(&Cancel(work_item, 0)), "{:?}", host.logged);
 }
 
 #[test]
 fn among_many_a_jam_is_no_illness_and_nothing_is_called_off_for_it() {
     let (mut d, mut host) = one_of_many(0);
-    let first = host.take(&mut d, RERUNNABLE, 42);
+    let first = host.take(&mut d, IDEMPOTENT, 42);
     host.now += 5.0;
     first.started(&mut d, host.now, 0);
     host.come(&mut d, first, 0, Outcome::Finished);
-    let all: Vec<Wi> = (0..8).map(|n| host.take(&mut d, RERUNNABLE, 50 + n)).collect();
-    all.iter().for_each(|wi| wi.accepted(&mut d, host.now, 0));
+    let all: Vec<WorkItem> = (0..8).map(|n| host.take(&mut d, IDEMPOTENT, 50 + n)).collect();
+    all.iter().for_each(|work_item| work_item.accepted(&mut d, host.now, 0));
     host.pass(&mut d, 4.0);
     let off = |a: &Asked| matches!(a, Cancel(..));
     assert!(host.logged.is_empty() && !host.asked.iter().any(off), "{:?}", host.logged);
@@ -468,10 +476,10 @@
     let used = |d: &mut Dispatcher, host: &mut Fake| {
         host.asked.clear();
         for n in 1..2000u32 {
-            let wi = host.take(d, RERUNNABLE, n.wrapping_mul(0x9e37_79b1));
-            host.come(d, wi, 0, Outcome::Finished);
+            let work_item = host.take(d, IDEMPOTENT, n.wrapping_mul(0x9e37_79b1));
+            host.come(d, work_item, 0, Outcome::Finished);
         }
-        let to = |a: &Asked| if let HandOff(_, r) = a { Some(*r) } else { None };
+        let to = |a: &Asked| if let Attempt(_, r) = a { Some(*r) } else { None };
         host.asked.iter().filter_map(to).collect::<std::collections::BTreeSet<usize>>()
     };
     let first = used(&mut d, &mut host);
@@ -480,11 +488,11 @@
     let next = used(&mut d, &mut host);
     assert!(next.len() == 16 && next.is_disjoint(&first), "the next in rank take the places of those gone");
     // More of ours runs: four runners for each.
-    let all: Vec<Wi> = (1..17).map(|n| host.take(&mut d, RERUNNABLE, n)).collect();
-    all.iter().for_each(|wi| wi.started(&mut d, host.now, 0));
+    let all: Vec<WorkItem> = (1..17).map(|n| host.take(&mut d, IDEMPOTENT, n)).collect();
+    all.iter().for_each(|work_item| work_item.started(&mut d, host.now, 0));
     for _ in 0..30 {
         host.pass(&mut d, 1.0);
-        all.iter().for_each(|wi| wi.progressed(&mut d, host.now, 0, 0.1));
+        all.iter().for_each(|work_item| work_item.progressed(&mut d, host.now, 0, 0.1));
     }
     let more = used(&mut d, &mut host).len();
     assert!((32..=64).contains(&more), "{more}");
@@ -498,8 +506,8 @@
         let sent = |me| {
             let (mut d, mut host) = start(Terms { replicas: 12, me, cold_s: 40.0, ..terms() }, 1);
             d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0 - age, ..runner(0) }))]);
-            let all = [0; 4].map(|_| host.take(&mut d, RERUNNABLE, 0));
-            all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count()
+            let all = [0; 4].map(|_| host.take(&mut d, IDEMPOTENT, 0));
+            all.iter().filter(|work_item| !host.sent_to(**work_item).is_empty()).count()
         };
         let all: Vec<usize> = (0..12).map(sent).collect();
         assert_eq!((all.iter().sum::<usize>(), all.iter().max()), (items, Some(&1)), "{all:?}");
@@ -509,7 +517,7 @@
 #[test]
 fn before_a_planned_end_all_in_hand_is_given_up_on_in_time() {
     let (mut d, mut host) = start(terms(), 1);
-    let all: Vec<Wi> = [RERUNNABLE, EXCLUSIVE, RERUNNABLE].map(|c| host.take(&mut d, c, 0)).to_vec();
+    let all: Vec<WorkItem> = [IDEMPOTENT, AT_MOST_ONCE, IDEMPOTENT].map(|c| host.take(&mut d, c, 0)).to_vec();
     assert!(host.sent_to(all[2]).is_empty(), "two are out, one is held");
     d.end_by(host.now + 0.65);
     host.pass(&mut d, 0.5);
@@ -528,72 +536,72 @@
 #[test]
 fn a_runner_that_happens_to_be_known_free_gets_no_work_whose_own_places_were_not_asked() {
     let (mut d, mut host) = start(probing(50), 8);
-    let first = host.take(&mut d, RERUNNABLE, 42);
+    let first = host.take(&mut d, IDEMPOTENT, 42);
     let Probe(free) = host.asked[0] else { panic!("{:?}", host.asked) };
     host.probed(&mut d, free, &[20.0]);
     assert_eq!(host.sent_to(first), [free]);
-    let others = (50..60).map(|key| host.take(&mut d, RERUNNABLE, key));
-    let others: Vec<Wi> = others.collect();
+    let others = (50..60).map(|key| host.take(&mut d, IDEMPOTENT, key));
+    let others: Vec<WorkItem> = others.collect();
     let asked: Vec<usize> =
         host.asked.iter().filter_map(|a| if let Probe(r) = a { Some(*r) } else { None }).collect();
     assert!(asked.len() > 2, "each asks the place of its own key");
     for r in asked.into_iter().skip(1) {
         host.probed(&mut d, r, &[20.0]);
     }
-    let there = others.iter().filter(|wi| host.sent_to(**wi) == [free]).count();
+    let there = others.iter().filter(|work_item| host.sent_to(**work_item) == [free]).count();
     assert!(there <= 3, "only those at home there: {there}");
 }
 
 #[test]
 fn held_work_asks_its_places_one_after_another_and_goes_where_a_slot_is_free() {
     let (mut d, mut host) = start(probing(50), 8);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
     let Probe(home) = host.asked[0] else { panic!("{:?}", host.asked) };
     assert_eq!(host.asked.len(), 1, "one probe, and nothing is sent unseen");
     host.probed(&mut d, home, &[0.0]);
     let Probe(next) = host.asked[1] else { panic!("{:?}", host.asked) };
     host.probed(&mut d, next, &[2.0]);
-    assert_eq!(host.sent_to(wi), [next]);
-    let again = host.take(&mut d, RERUNNABLE, 42);
+    assert_eq!(host.sent_to(work_item), [next]);
+    let again = host.take(&mut d, IDEMPOTENT, 42);
     assert_eq!(host.sent_to(again), [next], "one of its two slots is left by the same report");
-    let third = host.take(&mut d, RERUNNABLE, 42);
+    let third = host.take(&mut d, IDEMPOTENT, 42);
     assert!(host.sent_to(third).is_empty());
 }
 
 #[test]
 fn work_whose_places_are_all_full_queues_at_its_home_by_the_cap() {
     let (mut d, mut host) = start(probing(50), 3);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
     let mut asked = Vec::new();
-    while host.sent_to(wi).is_empty() && asked.len() < 5 {
+    while host.sent_to(work_item).is_empty() && asked.len() < 5 {
         let Some(Probe(r)) = host.asked.last().cloned() else { panic!("{:?}", host.asked) };
         asked.push(r);
         host.probed(&mut d, r, &[0.0]);
     }
-    assert_eq!((asked.len(), host.sent_to(wi)), (3, vec![asked[0]]));
+    assert_eq!((asked.len(), host.sent_to(work_item)), (3, vec![asked[0]]));
 }
 
 #[test]
 fn a_probe_that_takes_long_or_fails_lets_the_next_be_asked_and_proves_nothing() {
     let (mut d, mut host) = start(probing(50), 3);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
     host.pass(&mut d, 0.4);
     assert!(host.asked.iter().filter(|a| matches!(a, Probe(_))).count() >= 2, "{:?}", host.asked);
     let Probe(home) = host.asked[0] else { panic!() };
     host.probed(&mut d, home, &[f32::NAN]);
     host.probed(&mut d, home, &[-3.0]);
-    assert!(!host.sent_to(wi).contains(&home) && host.logged.is_empty());
+    assert!(!host.sent_to(work_item).contains(&home) && host.logged.is_empty());
 }
 
 #[test]
 fn what_was_learnt_before_a_planned_restart_counts_from_the_first_second() {
     let (mut d, mut host) = start(Terms { cold_from: 0.1, ..terms() }, 1);
     d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0, ..runner(0) }))]);
-    assert_eq!((d.usual(RERUNNABLE), d.learnt(0)), (None, None));
-    d.carry_usual(RERUNNABLE, 0.1);
+    assert_eq!((d.usual(IDEMPOTENT), d.learnt(0)), (None, None));
+    d.carry_usual(IDEMPOTENT, 0.1);
     // 0.32 s of work may be sent: no item of the stated half second, but one of the carried 0.1 s.
-    let wi = host.take(&mut d, RERUNNABLE, 0);
-    assert_eq!((host.sent_to(wi), d.usual(RERUNNABLE)), (vec![0], Some(0.1)));
+    let work_item = host.take(&mut d, IDEMPOTENT, 0);
+    assert_eq!((host.sent_to(work_item), d.usual(IDEMPOTENT)), (vec![0], Some(0.1)));
     d.carry_runner(0, 5.0, 1.5);
     assert_eq!(d.learnt(0), Some((100.0, 5.0, 1.5)));
 }
@@ -601,7 +609,7 @@
 #[test]
 fn a_cut_that_takes_all_places_of_a_work_item_lets_others_come_up() {
     let (mut d, mut host) = start(probing(50), 8);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
     let mut cut = Vec::new();
     while cut.len() < 4 {
         let Some(Probe(r)) = host.asked.last().cloned() else { panic!("{:?}", host.asked) };
@@ -610,15 +618,15 @@
         d.decide(&mut host);
     }
     host.pass(&mut d, 0.5);
-    let to = host.sent_to(wi);
+    let to = host.sent_to(work_item);
     assert!(!to.is_empty() && to.iter().all(|r| !cut.contains(r)), "{to:?}, {cut:?}");
 }
 
 #[test]
 fn a_started_job_without_word_for_a_beat_and_a_half_goes_elsewhere_though_its_runner_is_well() {
     let (mut d, mut host) = start(terms(), 2);
-    let [lost, exclusive] = [RERUNNABLE, EXCLUSIVE].map(|category| host.take(&mut d, category, 0));
-    [lost, exclusive].iter().for_each(|wi| wi.started(&mut d, host.now, 0));
+    let [lost, exclusive] = [IDEMPOTENT, AT_MOST_ONCE].map(|category| host.take(&mut d, category, 0));
+    [lost, exclusive].iter().for_each(|work_item| work_item.started(&mut d, host.now, 0));
     host.pass(&mut d, 1.3);
     assert!(!host.asked.iter().any(|a| matches!(a, Cancel(..))), "a beat of one second may be late");
     host.pass(&mut d, 0.4);
@@ -632,9 +640,9 @@
 fn a_runner_out_by_hand_gets_nothing_whatever_the_list_says() {
     let (mut d, mut host) = start(terms(), 2);
     host.learn_fetches(&mut d, 2);
-    let first: Vec<Wi> = (0..2).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
+    let first: Vec<WorkItem> = (0..2).map(|_| host.take(&mut d, IDEMPOTENT, 42)).collect();
     let home = host.sent_to(first[0])[0];
-    let waits = host.take(&mut d, RERUNNABLE, 42);
+    let waits = host.take(&mut d, IDEMPOTENT, 42);
     assert!(host.sent_to(waits).is_empty(), "for its busy holder");
     d.by_hand(host.now, home, true);
     d.decide(&mut host);
@@ -647,13 +655,13 @@
         d.by_hand(host.now, home, true);
         host.pass(&mut d, 1.0);
         host.asked.clear();
-        let wi = host.take(&mut d, RERUNNABLE, 42);
-        assert_eq!(host.sent_to(wi), [1 - home]);
-        host.come(&mut d, wi, 0, Outcome::Finished);
+        let work_item = host.take(&mut d, IDEMPOTENT, 42);
+        assert_eq!(host.sent_to(work_item), [1 - home]);
+        host.come(&mut d, work_item, 0, Outcome::Finished);
         assert!(d.avoids(home, host.now));
     }
     // A single call back ends it.
-    first.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Reset));
+    first.iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Reset));
     d.by_hand(host.now, home, false);
     assert!(!d.avoids(home, host.now), "what its end did to work is no sign against the new process");
 }
@@ -668,13 +676,17 @@
             d.listed(now, News::Whole, &[(0, Some(Listed { born, ..runner(0) }))]);
         };
         tell(&mut d, 100.0);
-        d.carry_usual(RERUNNABLE, 0.3);
+        d.carry_usual(IDEMPOTENT, 0.3);
         d.by_hand(100.5, 0, true);
         host.now = 105.0;
         tell(&mut d, 105.0);
         d.by_hand(105.0, 0, false);
-        let all: Vec<Wi> = (0..2).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
-        assert_eq!(all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count(), sent, "{born:?}");
+        let all: Vec<WorkItem> = (0..2).map(|_| host.take(&mut d, IDEMPOTENT, 0)).collect();
+        assert_eq!(
+            all.iter().filter(|work_item| !host.sent_to(**work_item).is_empty()).count(),
+            sent,
+            "{born:?}"
+        );
     }
 }
 
@@ -683,12 +695,12 @@
     let both = || {
         let (mut d, host) = start(terms(), 1);
         d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 95.0, ..runner(0) }))]);
-        d.carry_usual(RERUNNABLE, 0.4);
+        d.carry_usual(IDEMPOTENT, 0.4);
         (d, host)
     };
     let sent = |d: &mut Dispatcher, host: &mut Fake| {
-        let all: Vec<Wi> = (0..3).map(|_| host.take(d, RERUNNABLE, 0)).collect();
-        all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count()
+        let all: Vec<WorkItem> = (0..3).map(|_| host.take(d, IDEMPOTENT, 0)).collect();
+        all.iter().filter(|work_item| !host.sent_to(**work_item).is_empty()).count()
     };
     // It bears 1.8 s of work in this second, and the cap is two.
     let (mut old, mut host) = both();
@@ -712,32 +724,32 @@
 #[test]
 fn one_unwell_runner_that_is_all_its_kind_has_warm_does_not_starve_the_cold_one() {
     let mut terms = terms();
-    terms.categories[RERUNNABLE].kind = Some(1);
+    terms.categories[IDEMPOTENT].kind = Some(1);
     let (mut d, mut host) = start(terms, 6);
     let of_kind = |r: u64, born| (r as usize, Some(Listed { kind: 1, born, ..runner(r) }));
     d.listed(100.0, News::Changes, &[of_kind(0, f64::NEG_INFINITY)]);
     // The others do well; the only one of its kind takes ten times as long.
     for seconds in [0.1, 0.1, 0.1] {
-        let all: Vec<Wi> = (0..5).map(|_| host.take(&mut d, EXCLUSIVE, 0)).collect();
+        let all: Vec<WorkItem> = (0..5).map(|_| host.take(&mut d, AT_MOST_ONCE, 0)).collect();
         host.now += seconds;
-        all.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+        all.iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Finished));
     }
     d.carry_runner(0, 4.0, 10.0);
-    d.carry_usual(RERUNNABLE, 0.2);
+    d.carry_usual(IDEMPOTENT, 0.2);
     d.listed(host.now, News::Changes, &[of_kind(9, host.now)]);
     host.pass(&mut d, 0.2);
     host.asked.clear();
     // Four slots likely: 0.7 x 3 x (0.75 x 4 x 0.2) x 1 s = 1.3 s of work, six items of 0.2 s, two by its cap.
-    let all: Vec<Wi> = (0..6).map(|_| host.take(&mut d, RERUNNABLE, 0)).collect();
-    assert!(all.iter().filter(|wi| host.sent_to(**wi) == [9]).count() >= 2, "{:?}", host.asked);
+    let all: Vec<WorkItem> = (0..6).map(|_| host.take(&mut d, IDEMPOTENT, 0)).collect();
+    assert!(all.iter().filter(|work_item| host.sent_to(**work_item) == [9]).count() >= 2, "{:?}", host.asked);
 }
 
 #[test]
 fn work_of_ours_at_a_keys_place_makes_another_place_cheaper_than_waiting_there() {
     // Room is left at the home, but two run there and nothing does elsewhere; a fetch costs next to nothing.
     let (mut d, mut host) = start(Terms { replicas: 5, ..terms() }, 4);
-    let all: Vec<Wi> = (0..4).map(|_| host.take(&mut d, RERUNNABLE, 42)).collect();
-    let mut places: Vec<usize> = all.iter().map(|wi| host.sent_to(*wi)[0]).collect();
+    let all: Vec<WorkItem> = (0..4).map(|_| host.take(&mut d, IDEMPOTENT, 42)).collect();
+    let mut places: Vec<usize> = all.iter().map(|work_item| host.sent_to(*work_item)[0]).collect();
     places.sort_unstable();
     assert_eq!(places, [0, 1, 2, 3]);
 }
@@ -745,11 +757,11 @@
 #[test]
 fn a_work_item_whose_runners_all_left_finds_others() {
     let (mut d, mut host) = start(terms(), 60);
-    let wi = host.take(&mut d, RERUNNABLE, 42);
+    let work_item = host.take(&mut d, IDEMPOTENT, 42);
     let gone: Vec<_> = (0..60).filter(|r| *r != 7).map(|r| (r, None)).collect();
     d.listed(host.now, News::Changes, &gone);
-    host.come(&mut d, wi, 0, Outcome::NoConnection);
-    assert_eq!(host.sent_to(wi).last(), Some(&7));
+    host.come(&mut d, work_item, 0, Outcome::NoConnection);
+    assert_eq!(host.sent_to(work_item).last(), Some(&7));
 }
 
 #[test]
@@ -758,35 +770,35 @@
         let (mut d, mut host) = start(Terms { start_off_s: off, ..terms() }, 1);
         // A restart, stamped earlier than the start before it: only where clocks differ is that another one.
         d.listed(100.0, News::Changes, &[(0, Some(Listed { born: 100.0 + stamp, ..runner(0) }))]);
-        let all = [0, 1, 2].map(|_| host.take(&mut d, RERUNNABLE, 0));
-        let got = all.iter().filter(|wi| !host.sent_to(**wi).is_empty()).count();
+        let all = [0, 1, 2].map(|_| host.take(&mut d, IDEMPOTENT, 0));
+        let got = all.iter().filter(|work_item| !host.sent_to(**work_item).is_empty()).count();
         assert_eq!(got, sent, "off by {off}, stamped {stamp}");
         host.pass(&mut d, 21.0);
-        let late = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 0));
-        all.iter().for_each(|wi| host.come(&mut d, *wi, 0, Outcome::Finished));
+        let late = [0, 1].map(|_| host.take(&mut d, IDEMPOTENT, 0));
+        all.iter().for_each(|work_item| host.come(&mut d, *work_item, 0, Outcome::Finished));
         assert!(
-            late.iter().all(|wi| host.sent_to(*wi) == [0]),
+            late.iter().all(|work_item| host.sent_to(*work_item) == [0]),
             "warm by then, off by {off}, stamped {stamp}"
         );
     }
 }
 
 /// Late pays nothing, and one runner is full with two of ours.
-fn full_runner(pays_by_work: bool) -> (Dispatcher, Fake, Vec<Wi>) {
+fn full_runner(pays_by_work: bool) -> (Dispatcher, Fake, Vec<WorkItem>) {
     let mut terms = Terms { pays_by_work, ..terms() };
     terms.categories.iter_mut().for_each(|category| category.tardy = 0.0);
-    terms.categories[TICKETED].payoff = 2.0;
+    terms.categories[KEYED].payoff = 2.0;
     let (mut d, mut host) = start(terms, 1);
-    let out = [0, 1].map(|_| host.take(&mut d, RERUNNABLE, 0)).to_vec();
+    let out = [0, 1].map(|_| host.take(&mut d, IDEMPOTENT, 0)).to_vec();
     (d, host, out)
 }
 
 #[test]
 fn a_repeat_that_nobody_marks_is_due_by_its_first_try() {
     let (mut d, mut host, _) = full_runner(false);
-    let fresh = host.take(&mut d, RERUNNABLE, 0);
+    let fresh = host.take(&mut d, IDEMPOTENT, 0);
     // Its client gives up three seconds before others do, so it first came that long ago.
-    let again = d.take(host.now, Job { expiry: host.now + 7.0, ..job(RERUNNABLE, 0) }).unwrap();
+    let again = d.take(host.now, Job { expiry: host.now + 7.0, ..job(IDEMPOTENT, 0) }).unwrap();
     host.pass(&mut d, 0.3);
     assert!(matches!(host.ends(again)[..], [Defer(..)]), "it can no longer be in time: at once");
     assert!(host.ends(fresh).is_empty());
@@ -796,9 +808,10 @@
 fn a_work_item_is_due_by_its_own_hint() {
     let (mut d, mut host, _) = full_runner(false);
     let [small, large] = [0.01, 2.0].map(|hint| {
-        let wi = d.take(host.now, Job { expiry: host.now + 10.0, hint, ..job(RERUNNABLE, 0) }).unwrap();
+        let work_item =
+            d.take(host.now, Job { expiry: host.now + 10.0, hint, ..job(IDEMPOTENT, 0) }).unwrap();
         d.decide(&mut host);
-        wi
+        work_item
     });
     host.pass(&mut d, 1.0);
     assert!(matches!(host.ends(small)[..], [Defer(..)]) && host.ends(large).is_empty());
@@ -806,15 +819,15 @@
 
 #[test]
 fn where_work_is_paid_by_its_size_the_better_paid_category_goes_first_however_long_it_runs() {
-    for (by_work, first) in [(true, TICKETED), (false, RERUNNABLE)] {
+    for (by_work, first) in [(true, KEYED), (false, IDEMPOTENT)] {
         let (mut d, mut host, out) = full_runner(by_work);
-        d.carry_usual(RERUNNABLE, 0.1);
-        d.carry_usual(TICKETED, 0.8);
-        let held = [RERUNNABLE, TICKETED].map(|category| host.take(&mut d, category, 0));
+        d.carry_usual(IDEMPOTENT, 0.1);
+        d.carry_usual(KEYED, 0.8);
+        let held = [IDEMPOTENT, KEYED].map(|category| host.take(&mut d, category, 0));
         host.pass(&mut d, 0.4);
         host.come(&mut d, out[0], 0, Outcome::Finished);
-        let went = held.iter().position(|wi| !host.sent_to(*wi).is_empty());
-        assert_eq!(went, Some((first == TICKETED) as usize), "by work: {by_work}");
+        let went = held.iter().position(|work_item| !host.sent_to(*work_item).is_empty());
+        assert_eq!(went, Some((first == KEYED) as usize), "by work: {by_work}");
     }
 }
 
@@ -842,21 +855,21 @@
     let mut terms = Terms { replicas: 5, ..terms() };
     terms.categories.iter_mut().for_each(|category| category.tardy = 0.0);
     let (mut d, mut host) = start(terms, 60);
-    let all: Vec<Wi> = (0..32).map(|n| host.take(&mut d, RERUNNABLE, 100 + n)).collect();
+    let all: Vec<WorkItem> = (0..32).map(|n| host.take(&mut d, IDEMPOTENT, 100 + n)).collect();
     host.now += 3.0;
-    for wi in all {
-        wi.started(&mut d, host.now, 0);
-        host.come(&mut d, wi, 0, Outcome::Finished);
+    for work_item in all {
+        work_item.started(&mut d, host.now, 0);
+        host.come(&mut d, work_item, 0, Outcome::Finished);
     }
     host.pass(&mut d, 0.1);
-    d.carry_usual(RERUNNABLE, 0.1);
+    d.carry_usual(IDEMPOTENT, 0.1);
     host.asked.clear();
-    let jammed = host.take(&mut d, RERUNNABLE, 42);
+    let jammed = host.take(&mut d, IDEMPOTENT, 42);
     host.pass(&mut d, 0.3);
     assert!(host.sent_to(jammed).is_empty() && matches!(host.ends(jammed)[..], [Defer(..)]));
     host.pass(&mut d, 5.0);
     host.asked.clear();
-    let later = host.take(&mut d, RERUNNABLE, 42);
+    let later = host.take(&mut d, IDEMPOTENT, 42);
     assert_eq!(host.sent_to(later).len(), 1, "no wait was told of late");
 }
 
@@ -864,9 +877,9 @@
 fn what_comes_before_a_planned_end_is_no_repeat_for_having_less_time() {
     let (mut d, mut host, _) = full_runner(false);
     d.end_by(host.now + 3.0);
-    let wi = d.take(host.now, Job { expiry: host.now + 3.0, ..job(RERUNNABLE, 0) }).unwrap();
+    let work_item = d.take(host.now, Job { expiry: host.now + 3.0, ..job(IDEMPOTENT, 0) }).unwrap();
     host.pass(&mut d, 0.3);
-    assert!(host.ends(wi).is_empty(), "it can be in time");
+    assert!(host.ends(work_item).is_empty(), "it can be in time");
 }
 
 #[test]
@@ -876,7 +889,7 @@
         d.listed(host.now, News::Changes, &[(0, Some(Listed { born: host.now, ..runner(0) }))]);
         d.part(0, part);
         (0..6).for_each(|_| _ = host.take(&mut d, 0, 0));
-        (host.asked.iter().filter(|asked| matches!(asked, HandOff(..))).count(), d.cold(host.now))
+        (host.asked.iter().filter(|asked| matches!(asked, Attempt(..))).count(), d.cold(host.now))
     };
     let (all, cold) = sent(Some(1.0));
     assert!(cold[0].1 <= 0.76 && cold[0].2, "{cold:?}");
@@ -894,12 +907,12 @@
     d.heard(host.now, 2, false);
     assert!(d.avoids(2, host.now));
     for _ in 0..12 {
-        let wi = host.take(&mut d, 0, 0);
-        assert!(!host.sent_to(wi).contains(&2));
+        let work_item = host.take(&mut d, 0, 0);
+        assert!(!host.sent_to(work_item).contains(&2));
     }
     d.heard(host.now, 2, true);
     host.pass(&mut d, 0.3);
-    let trial = host.asked.iter().any(|asked| matches!(asked, HandOff(_, 2)));
+    let trial = host.asked.iter().any(|asked| matches!(asked, Attempt(_, 2)));
     assert!(trial, "it is tried before its rest would have ended");
 }
 
--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -2,10 +2,10 @@
 use crate::door::Door;
 use crate::handover::{Ask, Heard};
 use crate::http::{next, wire, Fault, Method, Request, Serving, BODY_MOST, HEAD_MOST};
-use crate::sockets::Tray;
+use crate::sockets::Mailbox;
 use crate::store::Store;
 use futures_util::{SinkExt, Stream};
-use sagetrail_core::{number, Open, Order, Reply, Word};
+use sagetrail_core::{number, Callback, Open, Order, Reply};
 use sagetrail_policy::Job;
 use sagetrail_store::{Answer, Ended};
 use std::cell::Cell;
@@ -25,7 +25,7 @@
 pub type Wire = Framed<TcpStream, Serving>;
 
 /// Where runners bring their news.
-const NEWS: &str = "/_jobs/news";
+const CALLBACKS: &str = "/_jobs/news";
 
 /// An idle connection is kept this long: longer than clients pause, short of for ever.
 const IDLE_S: f64 = 75.0;
@@ -116,11 +116,11 @@
     let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
     let mut ahead = Ahead::default();
-    let mut news = false;
+    let mut callback = false;
     loop {
         let come = match ahead.read.take() {
             Some(read) => Come::read(Some(read)),
-            None => request(&mut wire, fresh.take(), news, door).await,
+            None => request(&mut wire, fresh.take(), callback, door).await,
         };
         let unsettled = Counted::new(&door.unsettled);
         let overrun = std::mem::take(&mut ahead.overrun);
@@ -132,7 +132,7 @@
             Come::Request(request) => {
                 let _busy = Counted::new(&door.busy);
                 let keep = request.keep && !overrun;
-                news = request.target == NEWS;
+                callback = request.target == CALLBACKS;
                 let bare = request.method == Method::Head;
                 let Some((reply, open)) = answer(request, &mut wire, &mut ahead, door).await else {
                     return Ok(None);
@@ -145,7 +145,7 @@
             }
         };
         let busy = Counted::new(&door.busy);
-        reply.close = !keep || door.lets_go(news) || door.open.get() > door.most;
+        reply.close = !keep || door.lets_go(callback) || door.open.get() > door.most;
         let (close, status) = (reply.close, reply.status);
         let sent = timeout(Duration::from_secs_f64(SLOW_S), wire.send(reply)).await;
         sent.map_err(|_| Fault::Unfinished)??;
@@ -159,7 +159,7 @@
 }
 
 /// Waits for the next request.
-async fn request(wire: &mut Wire, fresh: Option<Instant>, news: bool, door: &Door) -> Come {
+async fn request(wire: &mut Wire, fresh: Option<Instant>, callback: bool, door: &Door) -> Come {
     // Guards against shutting a new connection whose first request is under way: its client takes that for a
     // request lost, and sends nothing again, unlike on a connection that has served.
     let until = fresh.map(|opened| opened + Duration::from_secs_f64(FRESH_S));
@@ -172,7 +172,7 @@
     };
     let come = match come {
         Some(come) => Some(come),
-        None => idle(wire, news, door).await,
+        None => idle(wire, callback, door).await,
     };
     match come {
         None => Come::Close,
@@ -187,7 +187,7 @@
 }
 
 /// Waits as one of the idle connections; `None` if it is this one's turn to be closed.
-async fn idle(wire: &mut Wire, news: bool, door: &Door) -> Option<Begun> {
+async fn idle(wire: &mut Wire, callback: bool, door: &Door) -> Option<Begun> {
     let (stamp, close) = (door.stamp(), Rc::new(Notify::new()));
     door.idle.borrow_mut().insert(stamp, close.clone());
     let mut closing = door.closing.subscribe();
@@ -195,7 +195,7 @@
         biased;
         come = begun(wire) => Some(come),
         () = close.notified() => None,
-        _ = closing.wait_for(|closing| *closing && door.sends_away(news)) => None,
+        _ = closing.wait_for(|closing| *closing && door.sends_away(callback)) => None,
         () = sleep(Duration::from_secs_f64(IDLE_S)) => None,
     };
     door.idle.borrow_mut().remove(&stamp);
@@ -275,23 +275,27 @@
     let path = request.target.split('?').next().unwrap_or_default();
     let looks = matches!(request.method, Method::Get | Method::Head);
     let reply = match path {
-        "/health/ready" if looks && door.ending.get() && !door.parting.get() => Reply::new(503, "ending\n"),
+        "/health/ready" if looks && door.shutting_down.get() && !door.handing_over.get() => {
+            Reply::new(503, "ending\n")
+        }
         "/health/ready" if looks && door.drained.get() => Reply::new(503, "drained by hand\n"),
         "/health/ready" if looks && !door.listed.get() => Reply::new(503, "no list yet\n"),
         "/health/ready" | "/health/live" if looks => Reply::new(200, "ok\n"),
-        NEWS if request.method == Method::Post => match serde_json::from_slice::<Word>(&request.body) {
-            Ok(word) => news(word, door).await,
-            Err(error) => Reply::new(400, format!("{error}\n")),
-        },
-        "/health/ready" | "/health/live" | NEWS => Reply::new(405, "not with this method\n"),
+        CALLBACKS if request.method == Method::Post => {
+            match serde_json::from_slice::<Callback>(&request.body) {
+                Ok(told) => callback(told, door).await,
+                Err(error) => Reply::new(400, format!("{error}\n")),
+            }
+        }
+        "/health/ready" | "/health/live" | CALLBACKS => Reply::new(405, "not with this method\n"),
         _ if request.method != Method::Post => Reply::new(405, "jobs come by POST\n"),
         _ => match job(&request, door) {
             Ok((job, wait_s)) => {
                 let open = Open::new(&door.figures, job.category);
                 let reply = match door.crowded() {
                     true => {
-                        let come_back_s = door.come_back_s;
-                        Reply { come_back_s, ..Reply::new(503, "too many connections\n") }
+                        let retry_after_s = door.retry_after_s;
+                        Reply { retry_after_s, ..Reply::new(503, "too many connections\n") }
                     }
                     false => work(request, job, wait_s, wire, ahead, door).await?,
                 };
@@ -305,13 +309,13 @@
 
 /// What a runner tells. Guards against news that come to the other process at this address: they go to the one
 /// that holds the work item, and the runner tells again what that did not hear.
-async fn news(word: Word, door: &Door) -> Reply {
+async fn callback(callback: Callback, door: &Door) -> Reply {
     if !door.handover.linked() {
-        door.tray.call(move |exchange| _ = exchange.word(word)).await;
+        door.mailbox.call(move |exchange| _ = exchange.callback(callback)).await;
         return Reply::new(204, "");
     }
-    let again = word.clone();
-    if door.tray.ask(move |exchange| exchange.word(word)).await != Some(true)
+    let again = callback.clone();
+    if door.mailbox.ask(move |exchange| exchange.callback(callback)).await != Some(true)
         && door.handover.tell(Ask::News(again)).await == Heard::Silent
     {
         return Reply::new(503, "not heard\n");
@@ -376,7 +380,7 @@
 
 /// Tells the exchange when a client leaves, also through a panic.
 struct Waiting<'a> {
-    tray: &'a Tray,
+    mailbox: &'a Mailbox,
     id: Option<Rc<str>>,
     gone: Rc<Cell<bool>>,
 }
@@ -385,7 +389,7 @@
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
             self.gone.set(true);
-            self.tray.put(move |exchange| exchange.left(&id));
+            self.mailbox.put(move |exchange| exchange.left(&id));
         }
     }
 }
@@ -402,7 +406,7 @@
     fn ended(mut self, reply: &Reply) {
         self.told = true;
         let (status, body) = (reply.status, Some(reply.body.to_vec()));
-        // Exclusive work is deferred only if it never ran; what was refused at the door was never taken.
+        // At-most-once work is deferred only if it never ran; what was refused at the door was never taken.
         let ran = !(status == 503 && self.exclusive || matches!(status, 400 | 404));
         let status = if matches!(status, 400 | 404) { 503 } else { status };
         self.store.ended(self.no, Ended { status, ran, body });
@@ -437,9 +441,9 @@
         Err(Answer::Say { status, body }) => Err(Reply::new(status, body)),
         Err(Answer::WriteOff) => Err(Reply::new(502, "written off: another dispatcher had it\n")),
         Err(Answer::Later) => {
-            let come_back_s = door.come_back_s;
+            let retry_after_s = door.retry_after_s;
             Err(Reply {
-                come_back_s,
+                retry_after_s,
                 ..Reply::new(503, "not now: its record cannot be made or is not ended\n")
             })
         }
@@ -458,9 +462,9 @@
     let Request { target, headers, body, .. } = request;
     let gone = Rc::new(Cell::new(false));
     let order = Order { id: id.clone(), target, headers, body, gone: gone.clone() };
-    let mut waiting = Waiting { tray: &door.tray, id: Some(id), gone };
+    let mut waiting = Waiting { mailbox: &door.mailbox, id: Some(id), gone };
     let (tell, mut told) = oneshot::channel();
-    door.tray.call(move |exchange| exchange.take(order, job, wait_s, tell)).await;
+    door.mailbox.call(move |exchange| exchange.take(order, job, wait_s, tell)).await;
     tokio::select! {
         biased;
         reply = &mut told => {
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -121,7 +121,7 @@
         match &about {
             About::Runner(id) => {
                 let id = id.clone();
-                door.tray.ask(move |exchange| exchange.by_hand(&id, true)).await;
+                door.mailbox.ask(move |exchange| exchange.by_hand(&id, true)).await;
             }
             About::Dispatcher(_) => {}
         }
@@ -139,14 +139,14 @@
     let looks = matches!(request.method, Method::Get | Method::Head);
     let says = request.method == Method::Post;
     match path {
-        "/healthcheck" if looks && door.ending.get() => Reply::new(503, "ending\n"),
+        "/healthcheck" if looks && door.shutting_down.get() => Reply::new(503, "ending\n"),
         "/healthcheck" if looks && !(door.lets_in.get() && door.listed.get()) => Reply::new(503, "not yet\n"),
         // Asked of the exchange itself: guards against a yes from a process whose decisions stand still.
-        "/healthcheck" if looks => match door.tray.ask(|_| ()).await {
+        "/healthcheck" if looks => match door.mailbox.ask(|_| ()).await {
             Some(()) => Reply::new(200, "ok\n"),
             None => Reply::new(503, "it decides nothing\n"),
         },
-        "/stats" if looks => match door.tray.ask(|exchange| exchange.listed_and_avoided()).await {
+        "/stats" if looks => match door.mailbox.ask(|exchange| exchange.listed_and_avoided()).await {
             Some((listed, avoided)) => Reply::new(200, door.figures.lines(listed, avoided)),
             None => Reply::new(503, "the list cannot be asked\n"),
         },
@@ -162,7 +162,7 @@
             both(true, Ask::Drain(on), door).await
         }
         "/members" | "/shared" if looks => match &console.fleet {
-            Some(fleet) => match door.tray.ask(|exchange| (exchange.now(), exchange.named())).await {
+            Some(fleet) => match door.mailbox.ask(|exchange| (exchange.now(), exchange.named())).await {
                 Some((now, _)) if path == "/members" => Reply::new(200, fleet.members(now)),
                 Some((now, named)) => Reply::new(200, fleet.shared(now, &door.categories, &named)),
                 None => Reply::new(503, "it decides nothing\n"),
@@ -172,7 +172,7 @@
         // Only in a trial: Unix time is found to be off by so many seconds.
         _ if console.trial && says && path.starts_with("/trial/clock/") => {
             match path["/trial/clock/".len()..].parse::<f64>().ok().filter(|by| by.is_finite()) {
-                Some(by) => match door.tray.ask(move |exchange| exchange.clock_jumped(by)).await {
+                Some(by) => match door.mailbox.ask(move |exchange| exchange.clock_jumped(by)).await {
                     Some(()) => Reply::new(200, "ok\n"),
                     None => Reply::new(503, "it decides nothing\n"),
                 },
@@ -199,7 +199,7 @@
             },
             Some((id, out)) => {
                 let ask = Ask::ByHand { id: id.clone(), out };
-                match door.tray.ask(move |exchange| exchange.by_hand(&id, out)).await {
+                match door.mailbox.ask(move |exchange| exchange.by_hand(&id, out)).await {
                     Some(known) => both(known, ask, door).await,
                     None => Reply::new(503, "it decides nothing\n"),
                 }
--- a/crates/sagetrail/src/list.rs
+++ b/crates/sagetrail/src/discovery.rs
@@ -5,7 +5,7 @@
 //! then at once a dial (`DIAL_S` at the most) and the answer. A dial that timed out has waited already: at once again.
 //! A call that failed quickly waits for its turn, which the decisions draw (`terms.rs`: 3.5 s, later 1.9 s).
 use crate::http::{next, wire, AskList, Fault, Watching, LINE_MOST};
-use crate::sockets::{Exchange, Tray};
+use crate::sockets::{Exchange, Mailbox};
 use crate::trial::Broken;
 use futures_util::SinkExt;
 use sagetrail_core::{Life, Names, Told};
@@ -55,7 +55,7 @@
     /// Changes when the dispatcher is told of another list.
     pub at: watch::Receiver<SocketAddr>,
     pub names: Names,
-    pub tray: Tray,
+    pub mailbox: Mailbox,
     /// Rung when the decisions ask for the list.
     pub ask: Rc<Notify>,
     /// The version that the dispatcher starts from.
@@ -163,10 +163,10 @@
                     let failed = move |exchange: &mut Exchange| {
                         known.into_iter().for_each(|known| _ = exchange.known(known));
                         if !waited {
-                            exchange.list_failed();
+                            exchange.discovery_failed();
                         }
                     };
-                    self.tray.call(failed).await;
+                    self.mailbox.call(failed).await;
                 }
                 () = place.spoke.notified() => former = None,
                 _ = ended(&mut former) => {}
@@ -256,7 +256,7 @@
                 known.into_iter().for_each(|known| _ = exchange.known(known));
                 exchange.listed(told);
             };
-            self.tray.call(listed).await;
+            self.mailbox.call(listed).await;
         }
     }
 }
--- a/crates/sagetrail/src/door.rs
+++ b/crates/sagetrail/src/door.rs
@@ -1,6 +1,6 @@
 //! What all client connections share.
 use crate::handover::Handover;
-use crate::sockets::Tray;
+use crate::sockets::Mailbox;
 use crate::store::Store;
 use sagetrail_core::Figures;
 use std::cell::{Cell, RefCell};
@@ -13,7 +13,7 @@
 
 /// What all client connections share.
 pub struct Door {
-    pub tray: Tray,
+    pub mailbox: Mailbox,
     /// What outlives the process, where there is a store.
     pub store: Option<Rc<Store>>,
     pub categories: Vec<String>,
@@ -22,9 +22,9 @@
     pub handover: Handover,
     pub expiries: Vec<f64>,
     /// The dispatcher has been told to end.
-    pub ending: Cell<bool>,
+    pub shutting_down: Cell<bool>,
     /// A newer process serves here: clients go there with their next answer.
-    pub parting: Cell<bool>,
+    pub handing_over: Cell<bool>,
     /// The operators empty it; and which time that was.
     pub drained: Cell<bool>,
     pub drains: Cell<u64>,
@@ -35,7 +35,7 @@
     /// There has been a list, be it an old one.
     pub listed: Rc<Cell<bool>>,
     /// When to come back, for who is turned away at the door; 0 where that is not passed on.
-    pub come_back_s: f64,
+    pub retry_after_s: f64,
     /// How many connections there may be, and how many more to turn work away on.
     pub most: usize,
     pub more: usize,
@@ -66,12 +66,12 @@
     }
 
     /// Whether a connection is one of those to let go; one that brings runners' news only at the end.
-    pub fn sends_away(&self, news: bool) -> bool {
-        !news || self.ending.get()
+    pub fn sends_away(&self, callback: bool) -> bool {
+        !callback || self.shutting_down.get()
     }
 
-    pub fn lets_go(&self, news: bool) -> bool {
-        (self.parting.get() || *self.closing.borrow()) && self.sends_away(news)
+    pub fn lets_go(&self, callback: bool) -> bool {
+        (self.handing_over.get() || *self.closing.borrow()) && self.sends_away(callback)
     }
 
     /// There is no place for one more work item: all connections are busy.
@@ -87,7 +87,7 @@
         tracing::info!("{}", if on { "drained by hand: clients are sent away" } else { "the drain is over" });
         self.drains.set(self.drains.get() + 1);
         if !on {
-            self.closing.send_replace(self.ending.get());
+            self.closing.send_replace(self.shutting_down.get());
             return;
         }
         let (door, this) = (self.clone(), self.drains.get());
--- a/crates/sagetrail/src/handover.rs
+++ b/crates/sagetrail/src/handover.rs
@@ -1,7 +1,7 @@
 //! Upgrades: what the old and the new process of one dispatcher tell each other over a Unix socket.
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use sagetrail_core::{Passed, Word};
+use sagetrail_core::{Callback, Passed};
 use serde::{Deserialize, Serialize};
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
@@ -33,7 +33,7 @@
 /// What one process asks of the other.
 #[derive(Serialize, Deserialize)]
 pub enum Ask {
-    News(Word),
+    News(Callback),
     ByHand { id: String, out: bool },
     Drain(bool),
 }
--- a/crates/sagetrail/src/http.rs
+++ b/crates/sagetrail/src/http.rs
@@ -367,8 +367,8 @@
         if reply.status != 204 {
             let _ = write!(head, "Content-Length: {}\r\n", reply.body.len());
         }
-        if reply.come_back_s > 0.0 {
-            let _ = write!(head, "Retry-After: {:.3}\r\n", reply.come_back_s);
+        if reply.retry_after_s > 0.0 {
+            let _ = write!(head, "Retry-After: {:.3}\r\n", reply.retry_after_s);
         }
         head.push_str(if reply.close { "Connection: close\r\n\r\n" } else { "\r\n" });
         dst.reserve(head.len() + reply.body.len());
--- a/crates/sagetrail/src/tray.rs
+++ b/crates/sagetrail/src/mailbox.rs
@@ -5,13 +5,13 @@
 type Call<X> = Box<dyn FnOnce(&mut X)>;
 
 /// Where the connections lay their calls on the exchange, and where the operators lay theirs, which go first:
-/// guards against a yes that waits behind a full tray.
-pub struct Tray<X> {
+/// guards against a yes that waits behind a full mailbox.
+pub struct Mailbox<X> {
     calls: mpsc::Sender<Call<X>>,
     first: mpsc::Sender<Call<X>>,
 }
 
-/// What lies on the tray.
+/// What lies on the mailbox.
 pub struct Calls<X> {
     calls: mpsc::Receiver<Call<X>>,
     first: mpsc::Receiver<Call<X>>,
@@ -31,23 +31,23 @@
     }
 }
 
-impl<X> Clone for Tray<X> {
+impl<X> Clone for Mailbox<X> {
     fn clone(&self) -> Self {
-        Tray { calls: self.calls.clone(), first: self.first.clone() }
+        Mailbox { calls: self.calls.clone(), first: self.first.clone() }
     }
 }
 
-impl<X: 'static> Tray<X> {
+impl<X: 'static> Mailbox<X> {
     /// More than there are connections: each lays down one call at a time.
     const MOST: usize = 4096;
 
     /// More than an operators' door has places.
     const FIRST: usize = 64;
 
-    pub fn new() -> (Tray<X>, Calls<X>) {
+    pub fn new() -> (Mailbox<X>, Calls<X>) {
         let (to_calls, calls) = mpsc::channel(Self::MOST);
         let (to_first, first) = mpsc::channel(Self::FIRST);
-        (Tray { calls: to_calls, first: to_first }, Calls { calls, first })
+        (Mailbox { calls: to_calls, first: to_first }, Calls { calls, first })
     }
 
     /// Asks the exchange something ahead of all else; `None` if it could not answer.
@@ -65,8 +65,8 @@
     /// The same from where nothing can wait.
     pub fn put(&self, call: impl FnOnce(&mut X) + 'static) {
         if let Err(mpsc::error::TrySendError::Full(call)) = self.calls.try_send(Box::new(call)) {
-            let tray = self.calls.clone();
-            spawn_local(async move { drop(tray.send(call).await) });
+            let mailbox = self.calls.clone();
+            spawn_local(async move { drop(mailbox.send(call).await) });
         }
     }
 }
--- a/crates/sagetrail/src/meeting.rs
+++ b/crates/sagetrail/src/meeting.rs
@@ -99,14 +99,14 @@
                 let Ok(Some(Frame::Hello { version: VERSION })) = hello else { return };
                 // Linked before it is told: a call in between goes after, and misses neither.
                 let linked = Linked::new(true, &door);
-                let state = door.tray.ask(move |exchange| exchange.hand_over(&terms)).await;
+                let state = door.mailbox.ask(move |exchange| exchange.hand_over(&terms)).await;
                 let Some((learnt, runners)) = state else { return };
                 let state = Passed { drained: door.drained.get(), deployment, learnt, runners };
                 tracing::info!("a new process takes over");
                 linked.serve(Some(state), read, write).await;
-                if !door.ending.get() {
+                if !door.shutting_down.get() {
                     tracing::warn!("the new process has ended; this one goes on");
-                    door.tray.ask(|exchange| exchange.hand_over_failed()).await;
+                    door.mailbox.ask(|exchange| exchange.hand_over_failed()).await;
                     let _ = meeting.claim();
                 }
             });
@@ -187,9 +187,9 @@
 /// Does what the other process asks; whether it concerned anything here.
 async fn carry_out(ask: Ask, door: &Rc<Door>) -> bool {
     match ask {
-        Ask::News(word) => door.tray.ask(move |exchange| exchange.word(word)).await.unwrap_or(false),
+        Ask::News(word) => door.mailbox.ask(move |exchange| exchange.callback(word)).await.unwrap_or(false),
         Ask::ByHand { id, out } => {
-            door.tray.ask(move |exchange| exchange.by_hand(&id, out)).await.unwrap_or(false)
+            door.mailbox.ask(move |exchange| exchange.by_hand(&id, out)).await.unwrap_or(false)
         }
         Ask::Drain(on) => {
             door.drain(on);
--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -2,17 +2,17 @@
 use crate::clients;
 use crate::clock::Clock;
 use crate::console;
+use crate::discovery;
 use crate::disk;
 use crate::door::Door;
 use crate::fleet::Fleet;
 use crate::handover::Handover;
 use crate::learnt;
 use crate::links::{self, Links};
-use crate::list;
 use crate::meeting::Meeting;
 use crate::runners;
 use crate::siting::Siting;
-use crate::sockets::{self, Exchange, Sockets, Tray};
+use crate::sockets::{self, Exchange, Mailbox, Sockets};
 use crate::start::{self, Source, Start};
 use crate::store::Store;
 use crate::trial::Broken;
@@ -59,7 +59,7 @@
 
 /// Reads the page again whenever told to; where the list is is all that a running process takes up.
 async fn reload(
-    mut hup: Signal, source: Source, ours: Value, list_at: watch::Sender<SocketAddr>,
+    mut hup: Signal, source: Source, ours: Value, discovery_at: watch::Sender<SocketAddr>,
     fleet: Option<Rc<Fleet>>, store: Option<Rc<Store>>,
 ) {
     while hup.recv().await.is_some() {
@@ -73,8 +73,10 @@
                 if !rest.is_empty() {
                     tracing::warn!("the page changed in what only a restart takes up: {}", rest.join(", "));
                 }
-                if list_at.send_if_modified(|at| std::mem::replace(at, page.list_at) != page.list_at) {
-                    tracing::info!("the page names another list, at {}", page.list_at);
+                if discovery_at
+                    .send_if_modified(|at| std::mem::replace(at, page.discovery_at) != page.discovery_at)
+                {
+                    tracing::info!("the page names another list, at {}", page.discovery_at);
                 }
             }
             Err(why) => tracing::warn!("the page cannot be used, the old one stays: {why}"),
@@ -132,8 +134,8 @@
         Some(at) => Some(listen_at(at).await?),
         None => None,
     };
-    let (tray, calls) = Tray::new();
-    let (ask_list, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
+    let (mailbox, calls) = Mailbox::new();
+    let (ask_discovery, has_list) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
     let figures = Figures::new(&start.categories);
     let pool = Rc::new(runners::Pool {
         clock,
@@ -143,12 +145,12 @@
         idle_s: 0.5 * start.runner_idle_s,
         runners: RefCell::default(),
     });
-    let (list_at, at) = watch::channel(start.list_at);
-    let watch = list::Watch {
+    let (discovery_at, at) = watch::channel(start.discovery_at);
+    let watch = discovery::Watch {
         at,
         names: start.names,
-        tray: tray.clone(),
-        ask: ask_list.clone(),
+        mailbox: mailbox.clone(),
+        ask: ask_discovery.clone(),
         after: start.known.generation,
         // An agent's word goes before the page's, from the first moment.
         known: Cell::new(start.terms.asks_agent.then(|| std::mem::take(&mut start.known))),
@@ -168,14 +170,21 @@
     });
     let mut store_parts = None;
     if let (Some(said), Some(members), Some(fleet)) = (start.store.take(), &members, &fleet) {
-        let (store, done, queues) =
-            Store::open(said, members, fleet.clone(), clock, source.clone(), list_at.clone(), (ill, broken))?;
+        let (store, done, queues) = Store::open(
+            said,
+            members,
+            fleet.clone(),
+            clock,
+            source.clone(),
+            discovery_at.clone(),
+            (ill, broken),
+        )?;
         // What was agreed before goes before the file, where it can be used.
         match source.open_on(&store.settings()) {
             Ok(agreed) => {
                 fleet.limits(agreed.fleet.as_ref().unwrap_or(members), &agreed.categories);
                 start.plan = agreed.plan;
-                list_at.send_replace(agreed.list_at);
+                discovery_at.send_replace(agreed.discovery_at);
             }
             Err(why) => tracing::warn!("the agreed settings cannot be used: {}", why.replace('\n', "; ")),
         }
@@ -183,22 +192,22 @@
     }
     let store = store_parts.as_ref().map(|(store, ..)| store.clone());
     // A second: places are taken for as long as jobs run, and those take about one.
-    let come_back_s = start.terms.max_come_back_s.min(1.0);
+    let retry_after_s = start.terms.max_retry_after_s.min(1.0);
     let door = Rc::new(Door {
-        tray: tray.clone(),
+        mailbox: mailbox.clone(),
         store: store.clone(),
         categories: start.categories,
         figures,
         handover: Handover::default(),
         expiries: start.expiries,
         closing: watch::Sender::new(false),
-        parting: Cell::new(false),
+        handing_over: Cell::new(false),
         lets_in: Cell::new(false),
-        ending: Cell::new(false),
+        shutting_down: Cell::new(false),
         drained: Cell::new(false),
         drains: Cell::new(0),
         listed: has_list.clone(),
-        come_back_s,
+        retry_after_s,
         most: rest - to_runners - more,
         more,
         open: Cell::new(0),
@@ -227,9 +236,9 @@
         Siting::new(who, start.plan, start.zones, door.categories.clone(), fleet.clone(), broken)
     });
     let outside = Sockets {
-        tray: tray.clone(),
+        mailbox: mailbox.clone(),
         pool,
-        ask_list,
+        ask_discovery,
         has_list,
         fleet: fleet.clone(),
         siting,
@@ -241,7 +250,7 @@
         dial_s: start.dial_s,
         drain_s: start.drain_s,
         most_held: start.most_held,
-        come_back_s,
+        retry_after_s,
         two_at_once: start.two_at_once,
         may_cancel: start.terms.may_cancel,
     };
@@ -274,11 +283,11 @@
         for (at, frames) in queues {
             spawn_local(links::send(at, frames));
         }
-        spawn_local(store.keep(done, tray.clone(), door.clone()));
+        spawn_local(store.keep(done, mailbox.clone(), door.clone()));
     }
     tracing::info!("{} serves on {}", start.name, start.listen);
     spawn_local(watch.keep());
-    spawn_local(reload(hup, source, start.page, list_at, fleet.clone(), store));
+    spawn_local(reload(hup, source, start.page, discovery_at, fleet.clone(), store));
     let lets_in = spawn_local(let_in(listener, door.clone(), meeting.clone(), deployment, terms.clone()));
     if let Some(listener) = operators {
         spawn_local(console::listen(
@@ -293,18 +302,18 @@
     }
     tracing::info!("told to end; settling what is in hand");
     let told = clock.now();
-    door.ending.set(true);
+    door.shutting_down.set(true);
     // The kill comes no sooner than the longest expiry, 3 s at most, and 0.7 s more.
     let end_at = told + longest.min(3.0) + 0.4;
-    tray.call(move |exchange| exchange.end_by(end_at)).await;
+    mailbox.call(move |exchange| exchange.end_by(end_at)).await;
     // A newer process lets clients in at the same socket, which stays open and keeps its queue.
-    door.parting.set(door.handover.succeeded());
-    if door.parting.get() {
+    door.handing_over.set(door.handover.succeeded());
+    if door.handing_over.get() {
         lets_in.abort();
     }
     // Guards against turning away whom nobody else serves: clients go on with the connections that they have
     // as long as these stay open. Who has others to go to is sent there while nearly any job still ends here.
-    let last_call = if alone && !door.parting.get() { end_at - LAST_S } else { end_at - MOVE_S };
+    let last_call = if alone && !door.handing_over.get() { end_at - LAST_S } else { end_at - MOVE_S };
     while clock.now() < last_call && (clock.now() < told + COMING_S || door.open.get() > 0) {
         sleep(Duration::from_millis(10)).await;
     }
@@ -317,7 +326,7 @@
     }
     if let Some(path) = &start.learnt {
         let (give, got) = oneshot::channel();
-        tray.call(move |exchange| drop(give.send(exchange.learnt(&terms)))).await;
+        mailbox.call(move |exchange| drop(give.send(exchange.learnt(&terms)))).await;
         match timeout(KEEP, got).await.ok().and_then(Result::ok) {
             Some(learnt) => match learnt::write(path, deployment, learnt) {
                 Ok(()) => tracing::info!("what was learnt is kept in {}", path.display()),
--- a/crates/sagetrail/src/siting.rs
+++ b/crates/sagetrail/src/siting.rs
@@ -7,7 +7,7 @@
 use sagetrail_sites::{admitted, Cause, Demand, Plan, Sites, Stage};
 use std::rc::Rc;
 
-/// Sites are looked at this often: several times within a hand-off's silence.
+/// Sites are looked at this often: several times within an attempt's silence.
 const LOOK_S: f64 = 0.1;
 /// Arrivals are counted over this.
 const RATE_S: f64 = 2.0;
--- a/crates/sagetrail/src/sockets.rs
+++ b/crates/sagetrail/src/sockets.rs
@@ -1,9 +1,9 @@
 //! What the exchange asks of the world, carried out on sockets; and the task that owns it.
 use crate::clock::Clock;
 use crate::fleet::Fleet;
+use crate::mailbox;
 use crate::runners::{self, Errand, Pool, Runner};
 use crate::siting::Siting;
-use crate::tray;
 use crate::trial::Broken;
 use sagetrail_core::{Gate, Load, Outgoing, Outside, Reply, Saw, Task};
 use sagetrail_policy::Dispatcher;
@@ -14,12 +14,12 @@
 use tokio::task::spawn_local;
 
 pub type Exchange = sagetrail_core::Exchange<Sockets>;
-pub type Tray = tray::Tray<Exchange>;
+pub type Mailbox = mailbox::Mailbox<Exchange>;
 
 pub struct Sockets {
-    pub tray: Tray,
+    pub mailbox: Mailbox,
     pub pool: Rc<Pool>,
-    pub ask_list: Rc<Notify>,
+    pub ask_discovery: Rc<Notify>,
     pub has_list: Rc<Cell<bool>>,
     /// The other members, where it has any.
     pub fleet: Option<Rc<Fleet>>,
@@ -51,8 +51,8 @@
     fn begin(
         &mut self, task: Task, runner: usize, message: Outgoing, until: f64, whole: Rc<Cell<bool>>,
     ) -> Self::Errand {
-        let (tray, to) = (self.tray.clone(), self.pool.runners.borrow()[runner].clone());
-        let told = move |ended| tray.put(move |exchange| exchange.errand_ended(task, ended));
+        let (mailbox, to) = (self.mailbox.clone(), self.pool.runners.borrow()[runner].clone());
+        let told = move |ended| mailbox.put(move |exchange| exchange.errand_ended(task, ended));
         let (errand, stop) = Errand::new(message, until, whole, told);
         spawn_local(runners::run(self.pool.clone(), to, errand));
         stop
@@ -63,10 +63,10 @@
     }
 
     fn again(&mut self, task: Task) {
-        let (tray, pause) = (self.tray.clone(), Duration::from_secs_f64(self.pool.dial_s));
+        let (mailbox, pause) = (self.mailbox.clone(), Duration::from_secs_f64(self.pool.dial_s));
         spawn_local(async move {
             tokio::time::sleep(pause).await;
-            tray.call(move |exchange| exchange.again(task)).await;
+            mailbox.call(move |exchange| exchange.again(task)).await;
         });
     }
 
@@ -78,8 +78,8 @@
         self.pool.runners.borrow()[runner].drop_idle();
     }
 
-    fn ask_list(&mut self) {
-        self.ask_list.notify_one();
+    fn ask_discovery(&mut self) {
+        self.ask_discovery.notify_one();
     }
 
     fn has_list(&mut self, has: bool) {
@@ -127,8 +127,8 @@
     }
 }
 
-/// Takes all news at hand, then decides once; until the tray is gone.
-pub async fn run(mut exchange: Exchange, mut calls: tray::Calls<Exchange>, clock: Clock) {
+/// Takes all news at hand, then decides once; until the mailbox is gone.
+pub async fn run(mut exchange: Exchange, mut calls: mailbox::Calls<Exchange>, clock: Clock) {
     loop {
         let call = tokio::select! {
             biased;
--- a/crates/sagetrail/src/start.rs
+++ b/crates/sagetrail/src/start.rs
@@ -32,7 +32,7 @@
 pub struct Start {
     pub name: String,
     pub listen: SocketAddr,
-    pub list_at: SocketAddr,
+    pub discovery_at: SocketAddr,
     /// Where the operators' door is, if there is one.
     pub console: Option<SocketAddr>,
     pub seed: u64,
@@ -209,7 +209,7 @@
     Ok(Start {
         name: page.name.unwrap_or_else(|| "sagetrail".to_string()),
         listen: address(page.listen, "RELAY_LISTEN", "listen")?,
-        list_at: address(page.discovery, "RELAY_DISCOVERY", "discovery")?,
+        discovery_at: address(page.discovery, "RELAY_DISCOVERY", "discovery")?,
         console: match page.console.is_some() || std::env::var_os("RELAY_CONSOLE").is_some() {
             true => Some(address(page.console, "RELAY_CONSOLE", "console")?),
             false => None,
--- a/crates/sagetrail/src/store.rs
+++ b/crates/sagetrail/src/store.rs
@@ -4,7 +4,7 @@
 use crate::disk::{self, Disk, Done, Job};
 use crate::door::Door;
 use crate::fleet::Fleet;
-use crate::sockets::Tray;
+use crate::sockets::Mailbox;
 use crate::start::Source;
 use crate::trial::Broken;
 use bytes::Bytes;
@@ -59,7 +59,7 @@
     next_keep: Cell<f64>,
     dirty: Cell<bool>,
     broken: Option<Broken>,
-    pub list_at: watch::Sender<SocketAddr>,
+    pub discovery_at: watch::Sender<SocketAddr>,
 }
 
 /// Queues of frames, by member, for the links to send.
@@ -68,7 +68,7 @@
 impl Store {
     pub fn open(
         said: Said, members: &Members, fleet: Rc<Fleet>, clock: Clock, source: Source,
-        list_at: watch::Sender<SocketAddr>, trial: (disk::Ill, Option<Broken>),
+        discovery_at: watch::Sender<SocketAddr>, trial: (disk::Ill, Option<Broken>),
     ) -> Result<(Rc<Store>, mpsc::UnboundedReceiver<Done>, Queues), String> {
         let (ill, broken) = trial;
         let mut chance = rand_pcg::Pcg64Mcg::from_os_rng();
@@ -128,7 +128,7 @@
             next_keep: Cell::new(0.0),
             dirty: Cell::new(false),
             broken,
-            list_at,
+            discovery_at,
         };
         Ok((Rc::new(store), done, receivers))
     }
@@ -147,8 +147,10 @@
 
     // ---- the loop ----
 
-    pub async fn keep(self: Rc<Self>, mut done: mpsc::UnboundedReceiver<Done>, tray: Tray, door: Rc<Door>) {
-        self.flush(&tray, &door);
+    pub async fn keep(
+        self: Rc<Self>, mut done: mpsc::UnboundedReceiver<Done>, mailbox: Mailbox, door: Rc<Door>,
+    ) {
+        self.flush(&mailbox, &door);
         loop {
             let due = self.node.borrow().due();
             let said = tokio::select! {
@@ -163,7 +165,7 @@
             if self.node.borrow().due() <= now {
                 self.node.borrow_mut().tick(now);
             }
-            self.flush(&tray, &door);
+            self.flush(&mailbox, &door);
         }
     }
 
@@ -234,7 +236,7 @@
         }
     }
 
-    fn flush(&self, tray: &Tray, door: &Rc<Door>) {
+    fn flush(&self, mailbox: &Mailbox, door: &Rc<Door>) {
         let now = self.clock.now();
         let fault = self.node.borrow().fault();
         if let Some(fault) = fault {
@@ -263,7 +265,7 @@
             (std::mem::take(&mut node.changed), node.behind())
         };
         if changed {
-            self.take_up(behind, tray, door);
+            self.take_up(behind, mailbox, door);
             self.dirty.set(true);
             self.progress.send_modify(|n| *n += 1);
         }
@@ -275,7 +277,7 @@
     }
 
     /// What is agreed now goes where it is used. One that is behind takes nothing back: it may not know why it was said.
-    fn take_up(&self, behind: bool, tray: &Tray, door: &Rc<Door>) {
+    fn take_up(&self, behind: bool, mailbox: &Mailbox, door: &Rc<Door>) {
         let (mut runners, mut drained) = (BTreeSet::new(), false);
         for (about, _) in self.node.borrow().all_out() {
             match about {
@@ -290,7 +292,7 @@
         }
         if runners != *out {
             out.clone_from(&runners);
-            tray.put(move |exchange| exchange.held_out(runners));
+            mailbox.put(move |exchange| exchange.held_out(runners));
         }
         if self.drained.replace(drained) != drained {
             door.drain(drained);
@@ -311,9 +313,10 @@
                 if let Some(said) = &start.fleet {
                     self.fleet.limits(said, &start.categories);
                 }
-                self.list_at.send_if_modified(|at| std::mem::replace(at, start.list_at) != start.list_at);
+                self.discovery_at
+                    .send_if_modified(|at| std::mem::replace(at, start.discovery_at) != start.discovery_at);
                 let plan = start.plan;
-                tray.put(move |exchange| {
+                mailbox.put(move |exchange| {
                     exchange.outside().siting.iter_mut().for_each(|siting| siting.plan(plan.clone()))
                 });
             }
@@ -325,7 +328,7 @@
         }
     }
 
-    // ---- hand-offs that are recorded ----
+    // ---- attempts that are recorded ----
 
     /// Makes a work item known to others before it is taken. Its number, or what is answered at once.
     pub async fn claim(
--- a/crates/sagetrail/src/trial.rs
+++ b/crates/sagetrail/src/trial.rs
@@ -62,12 +62,12 @@
         match self {
             RerunsExclusive => categories
                 .iter_mut()
-                .filter(|category| category.repeat == Repeat::Exclusive)
-                .for_each(|category| category.repeat = Repeat::Rerunnable),
+                .filter(|category| category.repeat == Repeat::AtMostOnce)
+                .for_each(|category| category.repeat = Repeat::Idempotent),
             ForgetsWindows => categories
                 .iter_mut()
-                .filter(|category| matches!(category.repeat, Repeat::Ticketed(_)))
-                .for_each(|category| category.repeat = Repeat::Rerunnable),
+                .filter(|category| matches!(category.repeat, Repeat::Keyed(_)))
+                .for_each(|category| category.repeat = Repeat::Idempotent),
             TwoAtOnce => start.two_at_once = true,
             IgnoresCold => start.terms.cold_s = 0.0,
             _ => {}
--- a/crates/sagetrail/tests/fleet.rs
+++ b/crates/sagetrail/tests/fleet.rs
@@ -138,8 +138,12 @@
 fn the_same_days_come_for_the_same_seed() {
     let ids = |seed: u64| {
         let outcome = played("calm", |options| options.seed = Some(seed));
-        let mut ids: Vec<String> =
-            outcome.records.wis.iter().map(|wi| format!("{} {}", wi.id, wi.work_s)).collect();
+        let mut ids: Vec<String> = outcome
+            .records
+            .wis
+            .iter()
+            .map(|work_item| format!("{} {}", work_item.id, work_item.work_s))
+            .collect();
         ids.sort();
         ids
     };
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,6 +1,6 @@
 //! The instances of one process: records become calls on their dispatchers, and answers become records.
 use crate::frame::{Batch, Fields, Reply, ENTRY};
-use sagetrail_policy::{read_terms, Dispatcher, Host, Job, Listed, News, Outcome, Stated, Wi};
+use sagetrail_policy::{read_terms, Dispatcher, Host, Job, Listed, News, Outcome, Stated, WorkItem};
 use std::collections::HashMap;
 
 type Address = [u8; 6];
@@ -8,7 +8,7 @@
 /// How the ids of the wire and the indices of the decisions map to each other.
 #[derive(Default)]
 struct Ids {
-    handles: HashMap<u32, Wi>,
+    handles: HashMap<u32, WorkItem>,
     client_ids: Vec<u32>,
     runners: HashMap<Address, usize>,
     addresses: Vec<Address>,
@@ -24,8 +24,8 @@
         index
     }
 
-    fn client_id(&self, wi: Wi) -> [u8; 4] {
-        self.client_ids[wi.0 as usize].to_le_bytes()
+    fn client_id(&self, work_item: WorkItem) -> [u8; 4] {
+        self.client_ids[work_item.0 as usize].to_le_bytes()
     }
 }
 
@@ -60,26 +60,26 @@
     fn now(&self) -> f64 {
         self.now
     }
-    fn hand_off(&mut self, wi: Wi, runner: usize, drop_at: f64, _: f64) {
+    fn send_attempt(&mut self, work_item: WorkItem, runner: usize, drop_at: f64, _: f64) {
         let drop_at = micros(drop_at).to_le_bytes();
-        let fields: [&[u8]; 3] = [&self.ids.client_id(wi), &self.ids.addresses[runner], &drop_at];
+        let fields: [&[u8]; 3] = [&self.ids.client_id(work_item), &self.ids.addresses[runner], &drop_at];
         self.reply.act(10, self.instance, &fields);
     }
-    fn defer(&mut self, wi: Wi, come_back_s: f64) {
-        let wait = (micros(come_back_s) as u32).to_le_bytes();
-        self.reply.act(20, self.instance, &[&self.ids.client_id(wi), &wait]);
+    fn defer(&mut self, work_item: WorkItem, retry_after_s: f64) {
+        let wait = (micros(retry_after_s) as u32).to_le_bytes();
+        self.reply.act(20, self.instance, &[&self.ids.client_id(work_item), &wait]);
     }
-    fn write_off(&mut self, wi: Wi) {
-        self.reply.act(30, self.instance, &[&self.ids.client_id(wi)]);
+    fn write_off(&mut self, work_item: WorkItem) {
+        self.reply.act(30, self.instance, &[&self.ids.client_id(work_item)]);
     }
-    fn cancel(&mut self, wi: Wi, ho: u16) {
-        self.reply.act(40, self.instance, &[&self.ids.client_id(wi), &ho.to_le_bytes()]);
+    fn cancel(&mut self, work_item: WorkItem, attempt: u16) {
+        self.reply.act(40, self.instance, &[&self.ids.client_id(work_item), &attempt.to_le_bytes()]);
     }
     fn probe(&mut self, runner: usize) {
         self.reply.act(60, self.instance, &[&self.ids.addresses[runner]]);
     }
-    fn forget(&mut self, wi: Wi) {
-        self.ids.handles.remove(&self.ids.client_ids[wi.0 as usize]);
+    fn forget(&mut self, work_item: WorkItem) {
+        self.ids.handles.remove(&self.ids.client_ids[work_item.0 as usize]);
     }
     fn wake(&mut self, in_s: f64) {
         // An hour at most: the wire's timers end a little later.
@@ -168,7 +168,7 @@
                     1 => News::Whole,
                     0 => News::Cached,
                     2 => {
-                        dispatcher.list_failed(now);
+                        dispatcher.discovery_failed(now);
                         return Ok(());
                     }
                     other => return Err(format!("unknown kind of list {other}")),
@@ -190,29 +190,29 @@
                     slots: record.f32(32) as f64,
                     memory: record.f32(36) as f64,
                 };
-                let wi =
+                let work_item =
                     dispatcher.take(now, job).ok_or_else(|| format!("category {category} is not known"))?;
-                if ids.client_ids.len() <= wi.0 as usize {
-                    ids.client_ids.resize(wi.0 as usize + 1, 0);
+                if ids.client_ids.len() <= work_item.0 as usize {
+                    ids.client_ids.resize(work_item.0 as usize + 1, 0);
                 }
-                ids.client_ids[wi.0 as usize] = record.u32(3);
-                ids.handles.insert(record.u32(3), wi);
+                ids.client_ids[work_item.0 as usize] = record.u32(3);
+                ids.handles.insert(record.u32(3), work_item);
             }
             40 => {
-                if let Some(wi) = known {
-                    wi.started(dispatcher, now, record.u16(7));
+                if let Some(work_item) = known {
+                    work_item.started(dispatcher, now, record.u16(7));
                 }
             }
             50 => {
                 let outcome = outcome(record.u16(15))?;
-                if let Some(wi) = known {
+                if let Some(work_item) = known {
                     let mut wire = Wire { ids, reply, instance, now };
-                    wi.outcome(dispatcher, &mut wire, record.u16(7), outcome, record.u8(21) != 0);
+                    work_item.outcome(dispatcher, &mut wire, record.u16(7), outcome, record.u8(21) != 0);
                 }
             }
             60 => {
-                if let Some(wi) = known {
-                    wi.left(dispatcher, &mut Wire { ids, reply, instance, now });
+                if let Some(work_item) = known {
+                    work_item.left(dispatcher, &mut Wire { ids, reply, instance, now });
                 }
             }
             80 => {
@@ -223,8 +223,10 @@
                 }
             }
             120 => match (known, record.u8(15)) {
-                (Some(wi), 1) => wi.started(dispatcher, now, record.u16(7)),
-                (Some(wi), 2) => wi.progressed(dispatcher, now, record.u16(7), record.f32(16) as f64),
+                (Some(work_item), 1) => work_item.started(dispatcher, now, record.u16(7)),
+                (Some(work_item), 2) => {
+                    work_item.progressed(dispatcher, now, record.u16(7), record.f32(16) as f64)
+                }
                 _ => {}
             },
             _ => {}
