--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -10,6 +10,7 @@
 use sagetrail_store::{Answer, Ended};
 use std::cell::Cell;
 use std::future::{poll_fn, ready};
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -257,11 +258,13 @@
                 wire.read_buffer_mut().clear();
                 self.overrun = true;
             } else {
-                let mut more = std::mem::take(wire.read_buffer_mut());
-                let read = wire.get_mut().read_buf(&mut more).await;
-                *wire.read_buffer_mut() = more;
-                if !matches!(read, Ok(1..)) {
-                    return;
+                // Nothing is held across the wait: it may be dropped there, when the answer comes.
+                let mut more = [0; 4096];
+                let readable = wire.get_ref().readable().await;
+                match readable.and_then(|()| wire.get_ref().try_read(&mut more)) {
+                    Ok(read @ 1..) => wire.read_buffer_mut().extend_from_slice(&more[..read]),
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    _ => return,
                 }
             }
         }
--- a/crates/sagetrail/tests/crossings/clients.rs
+++ b/crates/sagetrail/tests/crossings/clients.rs
@@ -94,3 +94,32 @@
         handed.answer("204 No Content", "");
     }
 }
+
+#[test]
+fn requests_behind_the_next_wait_their_turn_whole() {
+    let stage = Stage::start(1);
+    let runner = &stage.runners[0];
+    let mut client = stage.client();
+    let jobs: Vec<(String, String)> = (0..5).map(|_| job("rerun", "9000m")).collect();
+    let (first, rest) = jobs.split_first().unwrap();
+    client.send(&first.1);
+    let handed = runner.next();
+    // The last one is half there when the first answer comes.
+    let behind: String = rest.iter().map(|(_, text)| text.as_str()).collect();
+    let (now, later) = behind.split_at(behind.len() - 30);
+    client.send(now);
+    pause(50);
+    handed.take();
+    for (n, (id, _)) in jobs.iter().enumerate() {
+        if n > 0 {
+            let handed = runner.next();
+            assert_eq!(handed.id(), id);
+            handed.take();
+        }
+        assert_eq!(stage.news(id, "s-0", &format!(r#""done","result":"{n}""#)), 204);
+        assert_eq!(client.answer().body, n.to_string());
+        if n == 0 {
+            client.send(later);
+        }
+    }
+}
