A resting connection is not waited for where places are short

Seen in its log: with each closing connection keeping its place for 20 ms, more resting ones were closed than were needed, and for up to half a second all were new ones that may not be closed. Now a resting connection whose place is wanted ends by half-close, what is there is read, and its place is free in the same turn; others are read for 0.5 s as before.

--- a/crates/sagetrail/src/clients.rs
+++ b/crates/sagetrail/src/clients.rs
@@ -34,6 +34,8 @@
 const FRESH_S: f64 = 0.5;
 /// A request once begun must be whole after this, an answer written: many times a slow client's need.
 const SLOW_S: f64 = 5.0;
+/// A connection that is closed is read this long for what was under way: several round trips.
+pub const LINGER_S: f64 = 0.5;
 /// A work item expires this much before its client gives up: the way there and back, and a moment in which
 /// this process had no core.
 const WAY_S: f64 = 0.025;
@@ -74,11 +76,11 @@
                 }
                 let door = door.clone();
                 spawn_local(async move {
-                    let _place = place;
+                    let (_place, _placed) = (place, Counted::new(&door.placed));
                     let open = Counted::new(&door.open);
-                    let Ok(Some(wire)) = connection(stream, &door).await else { return };
+                    let Ok(Some((wire, within_s))) = connection(stream, &door).await else { return };
                     // It keeps its place, but takes nobody's: no work is turned away for one that is on its way out.
-                    let (_unsettled, within_s) = (Counted::new(&door.unsettled), door.linger_s());
+                    let _unsettled = Counted::new(&door.unsettled);
                     drop(open);
                     let _ = linger(wire, within_s).await;
                 });
@@ -112,8 +114,8 @@
     }
 }
 
-/// A connection's life up to its close: what is left to be read to its end, if anybody is there.
-async fn connection(stream: TcpStream, door: &Door) -> Result<Option<Wire>, Fault> {
+/// A connection's life up to its close: what is left to be read to its end and for how long, if anybody is there.
+async fn connection(stream: TcpStream, door: &Door) -> Result<Option<(Wire, f64)>, Fault> {
     let mut wire = wire(stream, Serving::default());
     let mut fresh = Some(Instant::now());
     let mut ahead = Ahead::default();
@@ -129,7 +131,10 @@
             Come::Gone => return Ok(None),
             // Guards against a reset over a request that crosses the close: it is read and left, and its client, who
             // sees a plain end, sends it once more elsewhere.
-            Come::Close => return Ok(Some(wire)),
+            Come::Close => {
+                let within_s = if door.short_of_places() { 0.0 } else { LINGER_S };
+                return Ok(Some((wire, within_s)));
+            }
             Come::Request(request) => {
                 let _busy = Counted::new(&door.busy);
                 let keep = request.keep && !overrun;
@@ -153,7 +158,7 @@
         open.into_iter().for_each(|open| open.answered(status));
         drop(busy);
         if close {
-            return Ok(Some(wire));
+            return Ok(Some((wire, LINGER_S)));
         }
         drop(unsettled);
     }
@@ -230,6 +235,15 @@
     let mut stream = wire.into_inner();
     stream.shutdown().await?;
     let mut rest = [0; 1024];
+    if most_s <= 0.0 {
+        // At once: a timer would hold its place for a moment, and whole rounds of idle connections with it.
+        for _ in 0..64 {
+            if !matches!(stream.try_read(&mut rest), Ok(1..)) {
+                break;
+            }
+        }
+        return Ok(());
+    }
     let read = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
     let _ = timeout(Duration::from_secs_f64(most_s), read).await;
     Ok(())
--- a/crates/sagetrail/src/console.rs
+++ b/crates/sagetrail/src/console.rs
@@ -1,5 +1,5 @@
 //! The operators' door: a second address, one call to a connection.
-use crate::clients::{linger, Wire};
+use crate::clients::{linger, Wire, LINGER_S};
 use crate::door::Door;
 use crate::fleet::Fleet;
 use crate::handover::{Ask, Heard};
@@ -91,7 +91,7 @@
     };
     let sent = timeout(within, wire.send(Reply { close: true, ..reply })).await;
     sent.map_err(|_| Fault::Unfinished)??;
-    linger(wire, 0.5).await
+    linger(wire, LINGER_S).await
 }
 
 /// The answer once the other process has heard it too, if there is one.
--- a/crates/sagetrail/src/door.rs
+++ b/crates/sagetrail/src/door.rs
@@ -40,6 +40,8 @@
     pub most: usize,
     pub more: usize,
     pub open: Cell<usize>,
+    /// Those that have a place, the closing ones too.
+    pub placed: Cell<usize>,
     /// Connections with a request in hand.
     pub busy: Cell<usize>,
     /// Those that a process that ends has to wait for: with a request under way, in hand, or answered and not closed yet.
@@ -56,13 +58,9 @@
         longest.map(|(_, close)| close.notify_one()).is_some()
     }
 
-    /// How long a connection that is closed is read for what was under way; hardly, where its place is wanted.
-    pub fn linger_s(&self) -> f64 {
-        if self.open.get() >= self.most {
-            0.02
-        } else {
-            0.5
-        }
+    /// Another connection waits for a place, or soon will.
+    pub fn short_of_places(&self) -> bool {
+        self.placed.get() >= self.most
     }
 
     /// Whether a connection is one of those to let go; one that brings runners' news only at the end.
--- a/crates/sagetrail/src/serve.rs
+++ b/crates/sagetrail/src/serve.rs
@@ -211,6 +211,7 @@
         most: rest - to_runners - more,
         more,
         open: Cell::new(0),
+        placed: Cell::new(0),
         busy: Cell::new(0),
         unsettled: Cell::new(0),
         idle: RefCell::default(),
