--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent beside a runner: heartbeats, holds, orders.
--- /dev/null
+++ b/crates/cluster-sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Whole clusters in one process on a simulated network, clock and disk.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's configuration: types, checks, changes, routes.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The cluster's processes: sockets, disk, settings, logs.
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,1 @@
+//! The relay tree that brings configurations to every process.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! The clients' gateway: requests passed on to the scheduler, and back.
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! Jobs, their runs, and their placement on runners.
--- /dev/null
+++ b/crates/wire/src/collections.rs
@@ -0,0 +1,159 @@
+//! Texts, byte strings and lists with their length in front, bounded when read.
+use deku::no_std_io::{Read, Seek, Write};
+use deku::prelude::*;
+use deku::reader::Reader;
+use deku::writer::Writer;
+use std::fmt;
+use std::ops::Deref;
+
+/// The longest byte string taken from a frame, in bytes.
+pub const MAX_BLOB_BYTES: usize = 16 << 20;
+/// The longest list taken from a frame, in items.
+pub const MAX_LIST_ITEMS: usize = 1 << 20;
+/// At most so many items are allocated ahead of their being read.
+const ALLOCATED_AHEAD: usize = 1024;
+
+/// A byte string.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Blob(pub Vec<u8>);
+
+/// A text in UTF-8.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Text(pub String);
+
+/// A list of items of one type.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct List<T>(pub Vec<T>);
+
+impl<T> Default for List<T> {
+    fn default() -> List<T> {
+        List(Vec::new())
+    }
+}
+
+impl<T> From<Vec<T>> for List<T> {
+    fn from(items: Vec<T>) -> List<T> {
+        List(items)
+    }
+}
+
+impl<T> FromIterator<T> for List<T> {
+    fn from_iter<I: IntoIterator<Item = T>>(items: I) -> List<T> {
+        List(items.into_iter().collect())
+    }
+}
+
+impl<T> Deref for List<T> {
+    type Target = Vec<T>;
+
+    fn deref(&self) -> &Vec<T> {
+        &self.0
+    }
+}
+
+impl Deref for Text {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Deref for Blob {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl From<&str> for Text {
+    fn from(text: &str) -> Text {
+        Text(text.to_owned())
+    }
+}
+
+impl From<String> for Text {
+    fn from(text: String) -> Text {
+        Text(text)
+    }
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Blob {
+        Blob(bytes)
+    }
+}
+
+impl fmt::Debug for Text {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "{:?}", self.0)
+    }
+}
+
+impl fmt::Debug for Blob {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "<{} bytes>", self.0.len())
+    }
+}
+
+fn read_length<R: Read + Seek>(reader: &mut Reader<R>, most: usize) -> Result<usize, DekuError> {
+    let length = u32::from_reader_with_ctx(reader, ())? as usize;
+    if length > most {
+        return Err(DekuError::Assertion("a length over the limit".into()));
+    }
+    Ok(length)
+}
+
+impl DekuReader<'_> for Blob {
+    fn from_reader_with_ctx<R: Read + Seek>(reader: &mut Reader<R>, _: ()) -> Result<Self, DekuError> {
+        let length = read_length(reader, MAX_BLOB_BYTES)?;
+        let mut bytes = Vec::with_capacity(length.min(ALLOCATED_AHEAD));
+        let mut piece = [0; ALLOCATED_AHEAD];
+        while bytes.len() < length {
+            let wanted = (length - bytes.len()).min(ALLOCATED_AHEAD);
+            reader.read_bytes(wanted, &mut piece[..wanted], deku::ctx::Order::Msb0)?;
+            bytes.extend_from_slice(&piece[..wanted]);
+        }
+        Ok(Blob(bytes))
+    }
+}
+
+impl DekuWriter for Blob {
+    fn to_writer<W: Write + Seek>(&self, writer: &mut Writer<W>, _: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(writer, ())?;
+        writer.write_bytes(&self.0)
+    }
+}
+
+impl DekuReader<'_> for Text {
+    fn from_reader_with_ctx<R: Read + Seek>(reader: &mut Reader<R>, _: ()) -> Result<Self, DekuError> {
+        let bytes = Blob::from_reader_with_ctx(reader, ())?.0;
+        String::from_utf8(bytes).map(Text).map_err(|_| DekuError::Parse("a text that is no UTF-8".into()))
+    }
+}
+
+impl DekuWriter for Text {
+    fn to_writer<W: Write + Seek>(&self, writer: &mut Writer<W>, _: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(writer, ())?;
+        writer.write_bytes(self.0.as_bytes())
+    }
+}
+
+impl<T: for<'a> DekuReader<'a>> DekuReader<'_> for List<T> {
+    fn from_reader_with_ctx<R: Read + Seek>(reader: &mut Reader<R>, _: ()) -> Result<Self, DekuError> {
+        let length = read_length(reader, MAX_LIST_ITEMS)?;
+        let mut items = Vec::with_capacity(length.min(ALLOCATED_AHEAD));
+        for _ in 0..length {
+            items.push(T::from_reader_with_ctx(reader, ())?);
+        }
+        Ok(List(items))
+    }
+}
+
+impl<T: DekuWriter> DekuWriter for List<T> {
+    fn to_writer<W: Write + Seek>(&self, writer: &mut Writer<W>, _: ()) -> Result<(), DekuError> {
+        (self.0.len() as u32).to_writer(writer, ())?;
+        self.0.iter().try_for_each(|item| item.to_writer(writer, ()))
+    }
+}
