--- /dev/null
+++ b/crates/config/src/change.rs
@@ -0,0 +1,102 @@
+//! Changes of a configuration: the whole of it, or named items.
+use crate::document::ConfigDocument;
+use crate::error::ConfigError;
+use crate::read::{self, Object};
+use serde_json::Value;
+
+impl ConfigDocument {
+    /// The whole configuration in `body`, to take the place of `current`.
+    pub fn replace(current: Option<&ConfigDocument>, body: &[u8]) -> Result<ConfigDocument, ConfigError> {
+        let json = read::object(body)?;
+        check_version(current, &json)?;
+        ConfigDocument::from_json(json)
+    }
+
+    /// `current` after the change in `body`: the items under `remove` go first, then those under `upsert` are put
+    /// in the place of their namesakes, or at the end.
+    pub fn patch(current: Option<&ConfigDocument>, body: &[u8]) -> Result<ConfigDocument, ConfigError> {
+        let patch = read::object(body)?;
+        let version = check_version(current, &patch)?;
+        let mut json = current.ok_or(ConfigError::NothingToPatch)?.json().clone();
+        json.insert("version".to_owned(), Value::from(version));
+        for (key, change) in section(&patch, "remove")? {
+            remove(&mut json, key, change)?;
+        }
+        for (key, change) in section(&patch, "upsert")? {
+            upsert(&mut json, key, change)?;
+        }
+        ConfigDocument::from_json(json)
+    }
+}
+
+fn check_version(current: Option<&ConfigDocument>, json: &Object) -> Result<u64, ConfigError> {
+    let version = read::version(json)?;
+    let current = current.map_or(0, |document| document.version);
+    if version <= current {
+        return Err(ConfigError::OldVersion { version, current });
+    }
+    Ok(version)
+}
+
+/// The fields of the object `key` of a patch; none where it is missing.
+fn section<'a>(patch: &'a Object, key: &str) -> Result<Vec<(&'a String, &'a Value)>, ConfigError> {
+    match patch.get(key) {
+        None => Ok(Vec::new()),
+        Some(Value::Object(fields)) => Ok(fields.iter().collect()),
+        Some(_) => Err(ConfigError::at(key, "must be an object")),
+    }
+}
+
+fn remove(json: &mut Object, key: &str, change: &Value) -> Result<(), ConfigError> {
+    let place = format!("remove.{key}");
+    let names = change.as_array().ok_or_else(|| ConfigError::at(&place, "must be a list of names"))?;
+    for (position, name) in names.iter().enumerate() {
+        let name =
+            name.as_str().ok_or_else(|| ConfigError::at(format!("{place}[{position}]"), "must be a name"))?;
+        if let Some(Value::Array(items)) = json.get_mut(key) {
+            items.retain(|item| name_of(item) != Some(name));
+        }
+    }
+    Ok(())
+}
+
+fn upsert(json: &mut Object, key: &str, change: &Value) -> Result<(), ConfigError> {
+    let place = format!("upsert.{key}");
+    match change {
+        Value::Array(changes) => upsert_items(json, key, changes, &place),
+        Value::Object(changes) => upsert_fields(json, key, changes, &place),
+        _ => Err(ConfigError::at(place, "must be a list of items")),
+    }
+}
+
+fn upsert_items(json: &mut Object, key: &str, changes: &[Value], place: &str) -> Result<(), ConfigError> {
+    let list = json.entry(key).or_insert_with(|| Value::Array(Vec::new()));
+    let items = list.as_array_mut().ok_or_else(|| ConfigError::at(place, "does not change a list"))?;
+    for (position, change) in changes.iter().enumerate() {
+        let place = || format!("{place}[{position}]");
+        let name = name_of(change).ok_or_else(|| ConfigError::at(place(), "must have a name"))?;
+        let repeated = changes[..position].iter().any(|earlier| name_of(earlier) == Some(name));
+        if repeated {
+            return Err(ConfigError::at(place(), format!("{name} is there twice")));
+        }
+        match items.iter_mut().find(|item| name_of(item) == Some(name)) {
+            Some(item) => *item = change.clone(),
+            None => items.push(change.clone()),
+        }
+    }
+    Ok(())
+}
+
+/// Takes the fields of a nameless object such as `limits`; those it does not name stay.
+fn upsert_fields(json: &mut Object, key: &str, changes: &Object, place: &str) -> Result<(), ConfigError> {
+    let target = json.entry(key).or_insert_with(|| Value::Object(Object::new()));
+    let fields = target.as_object_mut().ok_or_else(|| ConfigError::at(place, "does not change an object"))?;
+    for (name, value) in changes {
+        fields.insert(name.clone(), value.clone());
+    }
+    Ok(())
+}
+
+fn name_of(item: &Value) -> Option<&str> {
+    item.get("name")?.as_str()
+}
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,75 @@
+//! A whole configuration.
+use crate::error::ConfigError;
+use crate::index::{RouteIndex, RouteMatch};
+use crate::item::{Limits, Route, ServiceEntry};
+use crate::read::{self, Object};
+use serde_json::Value;
+use std::collections::HashMap;
+
+/// A configuration that keeps the rules for configurations.
+#[derive(Clone, PartialEq, Debug)]
+pub struct ConfigDocument {
+    pub version: u64,
+    pub routes: Vec<Route>,
+    pub services: Vec<ServiceEntry>,
+    pub limits: Limits,
+    /// The JSON as sent, the source of the fields above.
+    json: Object,
+    route_index: RouteIndex,
+    service_positions: HashMap<String, usize>,
+}
+
+impl ConfigDocument {
+    /// Reads a whole configuration and checks it by itself.
+    pub fn parse(body: &[u8]) -> Result<ConfigDocument, ConfigError> {
+        ConfigDocument::from_json(read::object(body)?)
+    }
+
+    /// The configuration as JSON, each value as it was sent.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.json).unwrap_or_default()
+    }
+
+    /// The configuration's JSON, unknown fields included.
+    pub fn json(&self) -> &serde_json::Map<String, Value> {
+        &self.json
+    }
+
+    /// The route of a request: `host` without a port, `path` without a query.
+    pub fn route<'a>(&'a self, host: &str, path: &'a str) -> Option<RouteMatch<'a>> {
+        let route = &self.routes[self.route_index.find(host, path)?];
+        Some(RouteMatch { route, rest: &path[route.path_prefix.len()..] })
+    }
+
+    /// The service with this name.
+    pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
+        self.service_positions.get(name).map(|position| &self.services[*position])
+    }
+
+    pub(crate) fn from_json(json: Object) -> Result<ConfigDocument, ConfigError> {
+        let version = read::version(&json)?;
+        let routes: Vec<Route> = read::items(&json, "routes")?;
+        let services: Vec<ServiceEntry> = read::items(&json, "services")?;
+        let limits = read::limits(&json)?;
+        read::unique_names("routes", routes.iter().map(|route| route.name.as_str()))?;
+        read::unique_names("services", services.iter().map(|service| service.name.as_str()))?;
+        let route_index = RouteIndex::build(&routes)?;
+        let service_positions = positions(&services);
+        check_services(&routes, &service_positions)?;
+        Ok(ConfigDocument { version, routes, services, limits, json, route_index, service_positions })
+    }
+}
+
+fn positions(services: &[ServiceEntry]) -> HashMap<String, usize> {
+    services.iter().enumerate().map(|(position, service)| (service.name.clone(), position)).collect()
+}
+
+fn check_services(routes: &[Route], known: &HashMap<String, usize>) -> Result<(), ConfigError> {
+    for (position, route) in routes.iter().enumerate() {
+        if !known.contains_key(&route.service) {
+            let reason = format!("no service is named {}", route.service);
+            return Err(ConfigError::at(format!("routes[{position}].service"), reason));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/tests/change.rs
@@ -0,0 +1,147 @@
+//! Replacing a configuration, and changing named items of it.
+mod common;
+
+use common::{body, document, route};
+use proptest::prelude::*;
+use sagetrail_config::{ConfigDocument, ConfigError};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+fn current() -> ConfigDocument {
+    ConfigDocument::replace(None, &body(&document(5))).unwrap()
+}
+
+fn read_back(config: &ConfigDocument) -> Value {
+    serde_json::from_slice(&config.to_bytes()).unwrap()
+}
+
+#[test]
+fn versions_must_climb() {
+    let old = current();
+    for version in [4, 5] {
+        let refused = Err(ConfigError::OldVersion { version, current: 5 });
+        assert_eq!(ConfigDocument::replace(Some(&old), &body(&document(version))), refused);
+        assert_eq!(ConfigDocument::patch(Some(&old), &body(&json!({"version": version}))), refused);
+    }
+    assert_eq!(ConfigDocument::replace(Some(&old), &body(&document(9))).unwrap().version, 9);
+    assert_eq!(ConfigDocument::patch(Some(&old), &body(&json!({"version": 6}))).unwrap().version, 6);
+    let zero = ConfigDocument::replace(None, &body(&document(0)));
+    assert_eq!(zero, Err(ConfigError::OldVersion { version: 0, current: 0 }));
+}
+
+#[test]
+fn a_patch_needs_something_to_change() {
+    let refused = ConfigDocument::patch(None, &body(&json!({"version": 6})));
+    assert_eq!(refused, Err(ConfigError::NothingToPatch));
+}
+
+#[test]
+fn a_patch_replaces_in_place_adds_at_the_end_and_removes() {
+    let changed = route("r-one", "a.example", "/new/", "two");
+    let added = route("r-new", "c.example", "/new/", "three");
+    let patch = json!({
+        "version": 8,
+        "upsert": {"routes": [changed, added], "services": [{"name": "three", "tls": true}]},
+        "remove": {"routes": ["r-two", "r-unknown"], "services": ["one"], "unknown": ["x"]},
+    });
+    let config = ConfigDocument::patch(Some(&current()), &body(&patch)).unwrap();
+    let mut expected = document(8);
+    expected["routes"] = json!([changed, added]);
+    expected["services"] = json!([common::service("two"), {"name": "three", "tls": true}]);
+    assert_eq!(read_back(&config), expected);
+    assert!(config.route("a.example", "/one/x").is_none());
+    assert_eq!(config.route("c.example", "/new/x").unwrap().route.name, "r-new");
+}
+
+#[test]
+fn limits_are_changed_field_by_field() {
+    let patch = json!({"version": 8, "upsert": {"limits": {"max_body_bytes": 7}}});
+    let first = ConfigDocument::patch(Some(&current()), &body(&patch)).unwrap();
+    let patch = json!({"version": 9, "upsert": {"limits": {"idle_timeout_ms": 8}}});
+    let second = ConfigDocument::patch(Some(&first), &body(&patch)).unwrap();
+    assert_eq!((second.limits.max_body_bytes, second.limits.idle_timeout_ms), (7, 8));
+}
+
+#[test]
+fn a_patch_is_checked_by_its_outcome() {
+    let bad = [
+        json!({"version": 8, "remove": {"services": ["one"]}}),
+        json!({"version": 8, "upsert": {"routes": [route("x", "a.example", "/one/", "one")]}}),
+        json!({"version": 8, "upsert": {"routes": [{"name": "x"}]}}),
+        json!({"version": 8, "upsert": {"routes": [{"host": "x"}]}}),
+        json!({"version": 8, "upsert": {"routes": 4}}),
+        json!({"version": 8, "upsert": {"routes": [route("x", "h", "/p", "one"), route("x", "h", "/q", "one")]}}),
+        json!({"version": 8, "upsert": []}),
+        json!({"version": 8, "remove": {"routes": [4]}}),
+        json!({"version": 8, "remove": {"routes": "r-one"}}),
+        json!({"upsert": {}}),
+    ];
+    for patch in bad {
+        let refused = ConfigDocument::patch(Some(&current()), &body(&patch));
+        assert!(matches!(refused, Err(ConfigError::Invalid { .. })), "{patch} gave {refused:?}");
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Upsert(u8, u32),
+    Remove(u8),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0..12_u8, 1..9000_u32).prop_map(|(name, timeout)| Change::Upsert(name, timeout)),
+        (0..12_u8).prop_map(Change::Remove),
+    ]
+}
+
+fn numbered(name: u8, timeout: u32) -> Value {
+    let mut item = route(&format!("r-{name}"), "a.example", &format!("/{name}/"), "one");
+    item["timeout_ms"] = json!(timeout);
+    item["extra"] = json!(f64::from(timeout) / 7.0);
+    item
+}
+
+proptest! {
+    /// Any run of patches leaves what a plain map of names leaves, and a replace by its read-back is the same.
+    #[test]
+    fn patches_agree_with_a_map(changes in proptest::collection::vec(change(), 1..40)) {
+        let mut first = document(1);
+        first["routes"] = json!([]);
+        let mut config = ConfigDocument::replace(None, &body(&first)).unwrap();
+        let mut model = BTreeMap::new();
+        for (position, change) in changes.into_iter().enumerate() {
+            let version = 2 + position;
+            let patch = match change {
+                Change::Upsert(name, timeout) => {
+                    model.insert(format!("r-{name}"), numbered(name, timeout));
+                    json!({"version": version, "upsert": {"routes": [numbered(name, timeout)]}})
+                }
+                Change::Remove(name) => {
+                    model.remove(&format!("r-{name}"));
+                    json!({"version": version, "remove": {"routes": [format!("r-{name}")]}})
+                }
+            };
+            config = ConfigDocument::patch(Some(&config), &body(&patch)).unwrap();
+            let held = read_back(&config)["routes"].as_array().unwrap().clone();
+            let held = held.into_iter().map(|item| (item["name"].as_str().unwrap().to_owned(), item));
+            prop_assert_eq!(held.collect::<BTreeMap<_, _>>(), model.clone());
+        }
+        let again = ConfigDocument::parse(&config.to_bytes()).unwrap();
+        prop_assert_eq!(again, config);
+    }
+
+    /// No bytes make the reader panic.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = ConfigDocument::parse(&bytes);
+        let _ = ConfigDocument::patch(Some(&current()), &bytes);
+    }
+
+    /// A document cut short anywhere is refused.
+    #[test]
+    fn cut_short_is_refused(cut in 0_usize..300) {
+        let whole = body(&document(1));
+        prop_assert!(ConfigDocument::parse(&whole[..cut.min(whole.len() - 1)]).is_err());
+    }
+}
--- /dev/null
+++ b/crates/config/tests/common/mod.rs
@@ -0,0 +1,27 @@
+//! Documents for the tests.
+use serde_json::{json, Value};
+
+/// A route with the fields that must be there.
+pub fn route(name: &str, host: &str, prefix: &str, service: &str) -> Value {
+    json!({"name": name, "host": host, "path_prefix": prefix, "service": service, "timeout_ms": 3000})
+}
+
+/// A service as the operator sends it.
+pub fn service(name: &str) -> Value {
+    json!({"name": name, "health_path": "/healthz", "max_conns": 64})
+}
+
+/// A configuration of two routes and two services.
+pub fn document(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [route("r-one", "a.example", "/one/", "one"), route("r-two", "a.example", "/two/", "two")],
+        "services": [service("one"), service("two")],
+        "limits": {"max_body_bytes": 262144},
+    })
+}
+
+/// `value` as a body.
+pub fn body(value: &Value) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,4 +1,5 @@
 //! The decisions of sagetrail and the plain types they are spoken in.
+mod chance;
 mod pcg;
 mod policy;
 mod reading;
@@ -6,6 +7,7 @@
 mod state;
 mod terms;
 
+pub use chance::start_chance;
 pub use policy::{Dispatcher, WorkItem};
 pub use reading::{read_terms, Stated};
 pub use state::Kept;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -3,6 +3,7 @@
 //! `started`, `progressed`, `outcome`, `left`. After a batch of news, and whenever a wake asked for comes
 //! due, call `decide`: it visits the runners and acts through the `Host`. Before a planned end, `end_by`. The
 //! interface (`Host`, `Terms`, `Job`, `Listed`, `Outcome`) is defined in `terms.rs`.
+use crate::chance::start_chance;
 use crate::pcg::draw;
 use crate::ring::{median, Ring};
 pub use crate::state::Dispatcher;
@@ -11,6 +12,8 @@
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
+/// What fetching a key costs where no other cost is known; the same at each runner without it.
+const FAR_COST: f64 = 1.0;
 /// The key table: how many entries a runner, and how long one lasts (DESIGN). Few and recent beat many (8,
 /// 14): a wrong entry draws work to a fetch that looked free, a missing one costs a coin at most.
 pub const KEYS: usize = 5;
@@ -512,7 +515,7 @@
             let well = |r: &Runner| r.ready() && !ill(r);
             let busy = others == open.len() && self.runners.get(work.home).is_some_and(well);
             let waits = !self.terms.probes && !late && busy;
-            let odds = 1.0 - (-(others as f64) / open.len().max(1) as f64).exp();
+            let odds = start_chance(others as f64 / open.len().max(1) as f64, FAR_COST);
             let work = &mut self.works[w as usize];
             (work.value, work.spare, work.waits, work.odds) = (value, leaves as u8 as f64, waits, odds);
         }
--- /dev/null
+++ b/crates/scheduler/src/clock.rs
@@ -0,0 +1,37 @@
+//! The time of day for due times, steadied: a jump that lasts a few seconds moves no due time.
+use sagetrail_wire::node::Now;
+
+/// A difference from the steady clock that lasts so long is believed, in milliseconds.
+const BELIEVED_AFTER_MS: u64 = 15_000;
+/// Differences below this are followed at once, in milliseconds.
+const SLACK_MS: i64 = 100;
+
+/// The time of day, carried on by the steady clock.
+pub struct SteadyDay {
+    anchor: Now,
+    /// Since when the time of day has differed.
+    differs_since: Option<Now>,
+}
+
+impl SteadyDay {
+    /// Anchored at this moment.
+    pub fn new(now: Now) -> SteadyDay {
+        SteadyDay { anchor: now, differs_since: None }
+    }
+
+    /// The time of day in milliseconds since 1970.
+    pub fn millis(&mut self, now: Now) -> i64 {
+        let carried = self.anchor.wall_ms + now.steady.millis_since(self.anchor.steady) as i64;
+        if (now.wall_ms - carried).abs() <= SLACK_MS {
+            self.differs_since = None;
+            return carried;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        if now.steady.millis_since(since.steady) < BELIEVED_AFTER_MS {
+            return carried;
+        }
+        self.anchor = now;
+        self.differs_since = None;
+        now.wall_ms
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,1 +1,27 @@
-//! Jobs, their runs, and their placement on runners.
+//! Jobs, their runs, and their placement on runners: what the elected core process does for its term.
+//!
+//! `Scheduler` takes clients' requests and agents' reports, changes jobs and runners in memory, and lays each
+//! change into the ledger as records. What may only be said or ordered once a change is kept waits in the ledger
+//! for its batch. `docs/system.md` has the invariants.
+mod clients;
+mod clock;
+mod ends;
+mod health;
+mod ids;
+mod job;
+mod ledger;
+mod orders;
+mod placement;
+mod preempt;
+mod queue;
+mod record;
+mod reports;
+mod restore;
+mod runner;
+mod scheduler;
+mod spec;
+mod watch;
+
+pub use ids::{JobId, TaskId};
+pub use scheduler::{Scheduler, SchedulerSettings};
+pub use spec::{JobSpec, SpecError, Stage};
--- /dev/null
+++ b/crates/scheduler/src/orders.rs
@@ -0,0 +1,100 @@
+//! What a runner is told: every run that is wanted and not there, every run that is there and not wanted.
+use crate::ids::TaskId;
+use crate::runner::{OrderedSet, Runner};
+use crate::scheduler::Scheduler;
+use sagetrail_wire::agent::{RunnerOrders, RunnerReport, StartOrder, StopOrder, AGENT_LEASE_MS};
+use sagetrail_wire::node::Now;
+use sagetrail_wire::{Message, NodeId};
+
+/// A runner with work sends its next heartbeat after so long, in milliseconds.
+const BUSY_RETRY_MS: u64 = 60;
+/// A runner without work sends its next heartbeat after so long, in milliseconds.
+const IDLE_RETRY_MS: u64 = 150;
+
+impl Scheduler {
+    /// Orders to all runners whose orders have changed.
+    pub(crate) fn send_changed_orders(&mut self, now: Now) {
+        for node in std::mem::take(&mut self.changed) {
+            let Some(runner) = self.runners.get(&node).filter(|runner| runner.agent != 0) else { continue };
+            if self.wanted(runner) != runner.ordered {
+                self.send_orders(now, node, None);
+            }
+        }
+    }
+
+    /// Orders that answer a report and renew the agent's lease.
+    pub(crate) fn answer_report(&mut self, now: Now, node: NodeId, report: &RunnerReport) {
+        self.changed.remove(&node);
+        self.send_orders(now, node, Some(report));
+    }
+
+    fn wanted(&self, runner: &Runner) -> OrderedSet {
+        let mut wanted = OrderedSet {
+            instance: runner.instance.clone(),
+            observed: runner.observed,
+            stop: runner.unknown.clone(),
+            ..OrderedSet::default()
+        };
+        for (&task, assignment) in &runner.assigned {
+            let attempt = assignment.attempt;
+            if assignment.stop && assignment.active {
+                wanted.stop.push(StopOrder { task: task.to_string().into(), attempt });
+            } else if !assignment.stop && !assignment.active && self.ledger.is_kept(assignment.batch) {
+                wanted.start.insert((task, attempt));
+            }
+        }
+        wanted
+    }
+
+    fn send_orders(&mut self, now: Now, node: NodeId, report: Option<&RunnerReport>) {
+        let Some(runner) = self.runners.get(&node) else { return };
+        let wanted = self.wanted(runner);
+        let start =
+            wanted.start.iter().filter_map(|&(task, attempt)| self.start_order(task, attempt)).collect();
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        if wanted != runner.ordered || runner.revision == 0 {
+            runner.revision += 1;
+            runner.ordered = wanted;
+        }
+        let revision = runner.revision;
+        let unwanted =
+            runner.assigned.values_mut().filter(|assignment| assignment.stop && !assignment.active);
+        unwanted.for_each(|assignment| {
+            assignment.withdrawn.get_or_insert(revision);
+        });
+        if report.is_some() {
+            runner.granted = now.steady;
+        }
+        let busy = !runner.assigned.is_empty();
+        let orders = RunnerOrders {
+            epoch: self.epoch,
+            revision,
+            agent: report.map_or(0, |report| report.agent),
+            sent_at: report.map_or(0, |report| report.sent_at),
+            lease_ms: AGENT_LEASE_MS,
+            instance: runner.instance.as_str().into(),
+            start,
+            stop: runner.ordered.stop.clone().into(),
+            observed: runner.ordered.observed,
+            retry_after_ms: if busy { BUSY_RETRY_MS } else { IDLE_RETRY_MS },
+        };
+        self.ledger.send(node, Message::RunnerOrders(orders));
+    }
+
+    fn start_order(&self, task: TaskId, attempt: u64) -> Option<StartOrder> {
+        let job = self.jobs.get(&task.step.job)?;
+        let spec = job.spec.as_ref()?;
+        let step = job.step(task.step)?;
+        let gang = job.stage(task.step)?.gang;
+        let saved = match gang {
+            true => step.gang_saved(),
+            false => step.tasks.get(task.index as usize)?.saved.clone(),
+        };
+        Some(StartOrder {
+            task: task.to_string().into(),
+            attempt,
+            spec: spec.spec.as_str().into(),
+            saved: saved.into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/preempt.rs
@@ -0,0 +1,183 @@
+//! Room made for work of a higher priority: which runs are stopped, and for whom their room is kept.
+//!
+//! Priority 0 may stop any run of a lower priority that is no member of a gang; other priorities only runs that
+//! save their progress at a stop. Nothing is stopped unless what then fits can start whole. The room is reserved
+//! until the step has started, or the reservation's end.
+use crate::ids::{StepId, TaskId};
+use crate::placement::{fits, times_fitting};
+use crate::queue::HeldKey;
+use crate::record::Outcome;
+use crate::runner::Runner;
+use crate::scheduler::Scheduler;
+use crate::spec::Stage;
+use sagetrail_wire::agent::Resources;
+use sagetrail_wire::node::Now;
+use sagetrail_wire::{NodeId, Time};
+use std::collections::BTreeMap;
+
+/// So many held steps are looked at in a round.
+const STEPS_IN_A_ROUND: usize = 8;
+/// A step waits so long before others make room, in milliseconds.
+const PATIENCE_MS: u64 = 150;
+/// A run is not stopped in its first moments, in milliseconds: it would be put back and forth.
+const YOUNG_MS: u64 = 500;
+/// Beyond the longest stop, for heartbeats and the kept record, in milliseconds.
+const RESERVATION_MARGIN_MS: u64 = 1_500;
+
+/// Room kept for a step.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reservation {
+    pub step: StepId,
+    pub priority: u32,
+    pub until: Time,
+}
+
+/// A run that may be stopped.
+#[derive(Clone, Copy)]
+struct Victim {
+    node: NodeId,
+    task: TaskId,
+    resources: Resources,
+    /// Core-milliseconds of work that a stop would waste.
+    loss: u64,
+}
+
+/// A runner, and what stopping runs there would free.
+struct Offer {
+    node: NodeId,
+    rack: String,
+    room: Resources,
+    victims: Vec<Victim>,
+    /// Tasks of the step that fit once all victims are stopped.
+    seats: u32,
+}
+
+impl Scheduler {
+    /// Makes room for the first held steps of a service that found none.
+    pub(crate) fn preempt(&mut self, now: Now, service: &str) {
+        self.reservations.retain(|_, reservation| now.steady < reservation.until);
+        for key in self.queue.held(service, STEPS_IN_A_ROUND) {
+            let reserved = self.reservations.values().any(|reservation| reservation.step == key.step);
+            if !reserved && self.has_waited(now, key.step) {
+                self.make_room(now, service, key);
+            }
+        }
+    }
+
+    fn has_waited(&self, now: Now, id: StepId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        let since = job.step(id).map_or(now.steady, |step| step.waiting_since.max(job.taken_at));
+        now.steady.millis_since(since) >= PATIENCE_MS
+    }
+
+    fn make_room(&mut self, now: Now, service: &str, key: HeldKey) {
+        let Some(job) = self.jobs.get(&key.step.job) else { return };
+        let (Some(stage), Some(step)) = (job.stage(key.step).cloned(), job.step(key.step)) else { return };
+        let wanted = if stage.gang { step.waiting.len() as u32 } else { 1 };
+        let offers = self.offers(now, service, key, &stage);
+        let chosen = if stage.gang { whole_gang(offers, &stage, wanted) } else { single_seat(offers) };
+        let until = now.steady.plus_millis(self.settings.bounds.stop_ms + RESERVATION_MARGIN_MS);
+        let reservation = Reservation { step: key.step, priority: key.priority, until };
+        let mut left = wanted;
+        for offer in chosen {
+            left = left.saturating_sub(offer.seats);
+            let seats = offer.seats.min(wanted);
+            self.reservations.insert(offer.node, reservation);
+            let victims = needed_victims(&offer, stage.resources(), seats);
+            victims.into_iter().for_each(|victim| self.stop(victim.node, victim.task));
+            if left == 0 {
+                break;
+            }
+        }
+    }
+
+    /// Runners at which tasks of the step would fit once runs there are stopped, cheapest first.
+    fn offers(&self, now: Now, service: &str, key: HeldKey, stage: &Stage) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for (&node, runner) in &self.runners {
+            let free = self.reservations.get(&node).is_none_or(|held| held.priority > key.priority);
+            let suits = runner.service == service && stage.constraints.all_in(&runner.labels);
+            if free && suits && runner.usable(now.steady) && fits(stage.resources(), runner.capacity) {
+                offers.extend(self.offer(now, node, runner, key.priority, stage));
+            }
+        }
+        offers.sort_by_key(|offer| offer.victims.iter().map(|victim| victim.loss).sum::<u64>());
+        offers
+    }
+
+    fn offer(&self, now: Now, node: NodeId, runner: &Runner, priority: u32, stage: &Stage) -> Option<Offer> {
+        let mut victims = Vec::new();
+        let mut room = runner.room();
+        for (&task, assignment) in &runner.assigned {
+            if assignment.stop {
+                add(&mut room, assignment.resources);
+                continue;
+            }
+            let old = now.steady.millis_since(assignment.since) >= YOUNG_MS;
+            if let Some(loss) = self.loss(now, task, priority).filter(|_| old && assignment.active) {
+                victims.push(Victim { node, task, resources: assignment.resources, loss });
+            }
+        }
+        victims.sort_by_key(|victim| (victim.loss, std::cmp::Reverse(victim.resources.gpu)));
+        let mut freed = room;
+        victims.iter().for_each(|victim| add(&mut freed, victim.resources));
+        let seats = times_fitting(stage.resources(), freed, stage.count);
+        let rack = runner.rack().to_owned();
+        (seats > 0).then_some(Offer { node, rack, room, victims, seats })
+    }
+
+    /// What stopping a run would waste; `None` where it may not be stopped for this priority.
+    fn loss(&self, now: Now, id: TaskId, priority: u32) -> Option<u64> {
+        let job = self.jobs.get(&id.step.job).filter(|job| job.outcome == Outcome::Active)?;
+        let stage = job.stage(id.step)?;
+        if job.terms.priority <= priority || stage.gang || stage.long_running {
+            return None;
+        }
+        if stage.checkpoints {
+            return Some(0);
+        }
+        let node = job.step(id.step)?.tasks.get(id.index as usize)?.on?;
+        let since = self.runners.get(&node)?.assigned.get(&id)?.since;
+        (priority == 0).then(|| now.steady.millis_since(since) * stage.cpu / 1000)
+    }
+}
+
+fn add(room: &mut Resources, more: Resources) {
+    room.cpu += more.cpu;
+    room.mem_mb += more.mem_mb;
+    room.gpu += more.gpu;
+}
+
+/// The cheapest runner for one task.
+fn single_seat(offers: Vec<Offer>) -> Vec<Offer> {
+    offers.into_iter().take(1).collect()
+}
+
+/// Runners for all tasks of a gang, of one rack where it asks for that; none where they do not suffice.
+fn whole_gang(offers: Vec<Offer>, stage: &Stage, wanted: u32) -> Vec<Offer> {
+    let mut racks: BTreeMap<String, Vec<Offer>> = BTreeMap::new();
+    for offer in offers {
+        let rack = if stage.rack_local { offer.rack.clone() } else { String::new() };
+        racks.entry(rack).or_default().push(offer);
+    }
+    let seats = |offers: &Vec<Offer>| offers.iter().map(|offer| offer.seats).sum::<u32>();
+    let loss = |offers: &Vec<Offer>| {
+        offers.iter().flat_map(|offer| &offer.victims).map(|victim| victim.loss).sum::<u64>()
+    };
+    let enough = racks.into_values().filter(|offers| seats(offers) >= wanted);
+    enough.min_by_key(loss).unwrap_or_default()
+}
+
+/// The fewest runs to stop so that the seats fit.
+fn needed_victims(offer: &Offer, resources: Resources, seats: u32) -> Vec<Victim> {
+    let mut room = offer.room;
+    let mut needed = Vec::new();
+    for victim in &offer.victims {
+        if times_fitting(resources, room, seats) >= seats {
+            break;
+        }
+        add(&mut room, victim.resources);
+        needed.push(*victim);
+    }
+    needed
+}
--- /dev/null
+++ b/crates/scheduler/src/queue.rs
@@ -0,0 +1,95 @@
+//! Steps with tasks whose turn has come, by priority and age, and times that are not due yet.
+use crate::ids::{JobId, StepId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Where a held step stands in its service's queue.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct HeldKey {
+    /// 0 comes first.
+    pub priority: u32,
+    pub order: u64,
+    pub step: StepId,
+}
+
+/// The held steps of all services.
+#[derive(Default)]
+pub struct HeldQueue {
+    services: BTreeMap<String, BTreeSet<HeldKey>>,
+    places: BTreeMap<StepId, (String, HeldKey)>,
+}
+
+impl HeldQueue {
+    /// Holds a step, or moves it.
+    pub fn hold(&mut self, service: &str, key: HeldKey) {
+        if self.places.get(&key.step).is_some_and(|(held, at)| held == service && *at == key) {
+            return;
+        }
+        self.release(key.step);
+        self.services.entry(service.to_owned()).or_default().insert(key);
+        self.places.insert(key.step, (service.to_owned(), key));
+    }
+
+    /// Holds a step no longer.
+    pub fn release(&mut self, step: StepId) {
+        let Some((service, key)) = self.places.remove(&step) else { return };
+        let Some(held) = self.services.get_mut(&service) else { return };
+        held.remove(&key);
+        if held.is_empty() {
+            self.services.remove(&service);
+        }
+    }
+
+    /// Services with held steps.
+    pub fn services(&self) -> Vec<String> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// The first `most` held steps of a service, in order.
+    pub fn held(&self, service: &str, most: usize) -> Vec<HeldKey> {
+        self.services.get(service).map(|held| held.iter().take(most).copied().collect()).unwrap_or_default()
+    }
+
+    /// True where nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+}
+
+/// A time of a job that is not due yet.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct DueTime {
+    /// In milliseconds since 1970.
+    pub at_ms: i64,
+    pub job: JobId,
+    pub time: u32,
+}
+
+/// The times that are not due yet.
+#[derive(Default)]
+pub struct DueTimes(BTreeSet<DueTime>);
+
+impl DueTimes {
+    /// Waits for a time.
+    pub fn add(&mut self, due: DueTime) {
+        self.0.insert(due);
+    }
+
+    /// The first one, where it has come.
+    pub fn take_due(&mut self, day_ms: i64) -> Option<DueTime> {
+        let first = self.0.first().filter(|due| due.at_ms <= day_ms).copied()?;
+        self.0.remove(&first);
+        Some(first)
+    }
+
+    /// When the first one comes.
+    pub fn next_ms(&self) -> Option<i64> {
+        self.0.first().map(|due| due.at_ms)
+    }
+}
+
+impl DueTimes {
+    /// True where the time is still waited for.
+    pub fn contains(&self, due: DueTime) -> bool {
+        self.0.contains(&due)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/reports.rs
@@ -0,0 +1,190 @@
+//! Agents' reports: what runs, what has ended, what can no longer be running.
+use crate::ends::OverRun;
+use crate::ids::TaskId;
+use crate::runner::{NotedEnd, Runner};
+use crate::scheduler::Scheduler;
+use sagetrail_wire::agent::{RunEnd, RunnerReport, StopOrder};
+use sagetrail_wire::node::Now;
+use sagetrail_wire::NodeId;
+
+/// Incarnations of an agent that are remembered as replaced.
+const REPLACED_KEPT: usize = 16;
+
+impl Scheduler {
+    /// Takes a report and answers it with orders.
+    pub(crate) fn runner_report(&mut self, now: Now, from: NodeId, report: RunnerReport) {
+        if report.epoch > self.epoch {
+            return;
+        }
+        let started_at = self.started_at;
+        let runner = self.runners.entry(from).or_insert_with(|| Runner::new(started_at));
+        if !accept_sequence(runner, &report) {
+            return;
+        }
+        runner.heard = now.steady;
+        runner.present = report.present;
+        if report.present {
+            self.take_present(now, from, &report);
+        }
+        self.answer_report(now, from, &report);
+        self.place_again = true;
+    }
+
+    fn take_present(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
+        self.replace_instance(now, from, &report.instance);
+        let Some(runner) = self.runners.get_mut(&from) else { return };
+        runner.service = report.service.0.clone();
+        runner.labels = report.labels.iter().map(|label| label.0.clone()).collect();
+        runner.capacity = report.capacity;
+        runner.draining = report.draining;
+        runner.lapsed = report.lapsed;
+        runner.remaining_ms = report.remaining_ms;
+        runner.silent_ms = report.silent_ms;
+        self.note_active(now, from, report);
+        self.note_finished(now, from, report);
+        self.note_absent(now, from, report);
+        let Some(runner) = self.runners.get_mut(&from) else { return };
+        runner.known |= report.epoch == self.epoch && report.settled;
+    }
+
+    /// Another instance on the machine: whatever the former one ran is over.
+    fn replace_instance(&mut self, now: Now, node: NodeId, instance: &str) {
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        if runner.instance == instance {
+            return;
+        }
+        let former = !runner.instance.is_empty();
+        if former {
+            self.all_over(now, node);
+        }
+        if let Some(runner) = self.runners.get_mut(&node) {
+            runner.replace_instance(instance);
+        }
+    }
+
+    /// Everything assigned to the runner is over.
+    pub(crate) fn all_over(&mut self, now: Now, node: NodeId) {
+        let Some(runner) = self.runners.get(&node) else { return };
+        let tasks: Vec<TaskId> = runner.assigned.keys().copied().collect();
+        tasks.into_iter().for_each(|task| self.over_without_end(now, node, task));
+    }
+
+    fn over_without_end(&mut self, now: Now, node: NodeId, task: TaskId) {
+        self.run_over(now, OverRun { node, task, end: RunEnd::Lapsed, saved: String::new() });
+    }
+
+    fn note_active(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
+        let Some(runner) = self.runners.get_mut(&from) else { return };
+        runner.assigned.values_mut().for_each(|assignment| assignment.active = false);
+        runner.unknown.clear();
+        for run in report.active.iter() {
+            let id = TaskId::parse(&run.task);
+            let assignment = id.and_then(|id| runner.assigned.get_mut(&id));
+            match assignment.filter(|assignment| assignment.attempt == run.attempt) {
+                Some(assignment) => {
+                    assignment.active = true;
+                    assignment.seen = true;
+                    if assignment.percent != run.percent {
+                        assignment.percent = run.percent;
+                        assignment.moved_at = now.steady;
+                    }
+                }
+                None => runner.unknown.push(StopOrder { task: run.task.clone(), attempt: run.attempt }),
+            }
+            let task = id.and_then(|id| self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)));
+            if let Some(task) = task.filter(|task| !run.saved.is_empty() && task.attempt == run.attempt) {
+                task.saved = run.saved.0.clone();
+            }
+        }
+        if !runner.unknown.is_empty() {
+            self.changed.insert(from);
+        }
+    }
+
+    fn note_finished(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
+        let mut finished: Vec<_> = report.finished.iter().collect();
+        finished.sort_by_key(|run| run.number);
+        for run in finished {
+            let Some(runner) = self.runners.get_mut(&from) else { return };
+            if run.number <= runner.noted {
+                continue;
+            }
+            runner.noted = run.number;
+            let id = TaskId::parse(&run.task);
+            let assigned = id.and_then(|id| runner.assigned.get(&id));
+            if let Some(task) = id.filter(|_| assigned.is_some_and(|a| a.attempt == run.attempt)) {
+                let saved = run.saved.0.clone();
+                self.run_over(now, OverRun { node: from, task, end: run.end, saved });
+            }
+            let batch = self.ledger.current();
+            if let Some(runner) = self.runners.get_mut(&from) {
+                runner.ends.push_back(NotedEnd { number: run.number, batch });
+            }
+            self.changed.insert(from);
+        }
+        self.observe_ends();
+    }
+
+    /// What is neither active nor finished, and can no longer start, is over.
+    fn note_absent(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
+        let own = report.epoch == self.epoch;
+        let Some(runner) = self.runners.get_mut(&from) else { return };
+        let mut over = Vec::new();
+        for (&task, assignment) in runner.assigned.iter_mut().filter(|(_, assignment)| !assignment.active) {
+            let withdrawn = assignment.withdrawn.is_some_and(|revision| own && report.revision >= revision);
+            if withdrawn && (report.settled || report.lapsed) || report.lapsed && assignment.seen {
+                over.push(task);
+            } else if report.lapsed {
+                assignment.stop = true;
+                self.changed.insert(from);
+            }
+        }
+        over.into_iter().for_each(|task| self.over_without_end(now, from, task));
+    }
+
+    /// Ends whose batches are kept may be observed.
+    pub(crate) fn observe_ends(&mut self) {
+        for (&node, runner) in &mut self.runners {
+            let before = runner.observed;
+            let ledger = &self.ledger;
+            runner.observe(|batch| ledger.is_kept(batch));
+            if runner.observed != before {
+                self.changed.insert(node);
+            }
+        }
+    }
+
+    /// Runs of runners that cannot have been allowed to go on are over.
+    pub(crate) fn give_up_unreachable(&mut self, now: Now) {
+        let over = |runner: &Runner| !runner.assigned.is_empty() && runner.is_over(now.steady);
+        let nodes: Vec<NodeId> =
+            self.runners.iter().filter(|(_, runner)| over(runner)).map(|(&node, _)| node).collect();
+        for node in nodes {
+            log::warn!("runner at {node} is out of reach for longer than its lease: its runs are over");
+            self.all_over(now, node);
+            if let Some(runner) = self.runners.get_mut(&node) {
+                runner.known = false;
+            }
+        }
+    }
+}
+
+/// True where the report is newer than any before, of the agent that runs now.
+fn accept_sequence(runner: &mut Runner, report: &RunnerReport) -> bool {
+    if runner.agent == report.agent {
+        let newer = report.sequence > runner.sequence;
+        runner.sequence = runner.sequence.max(report.sequence);
+        return newer;
+    }
+    if runner.replaced.contains(&report.agent) {
+        return false;
+    }
+    let former = std::mem::replace(&mut runner.agent, report.agent);
+    runner.replaced.push(former);
+    if runner.replaced.len() > REPLACED_KEPT {
+        runner.replaced.remove(0);
+    }
+    runner.sequence = report.sequence;
+    runner.known = false;
+    true
+}
--- /dev/null
+++ b/crates/scheduler/src/runner.rs
@@ -0,0 +1,173 @@
+//! A runner as the scheduler knows it: what its agent reported, what is assigned to it, what it is to be told.
+use crate::health::Health;
+use crate::ids::TaskId;
+use sagetrail_wire::agent::{Resources, StopOrder, AGENT_LEASE_MS};
+use sagetrail_wire::{Incarnation, Time};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Steady clocks may differ by this share.
+const CLOCK_RATE: f64 = 0.03;
+/// Beyond the lease, for messages on their way, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 300;
+/// Without a report for so long a runner gets no new starts, in milliseconds.
+const UNHEARD_MS: u64 = 1_600;
+/// A runner silent towards its agent for so long gets no new starts, in milliseconds.
+const SILENT_MS: u64 = 900;
+
+/// How long after the last grant of a lease every run of an unreachable runner is over, in milliseconds.
+pub const OVER_AFTER_MS: u64 = AGENT_LEASE_MS + (AGENT_LEASE_MS as f64 * CLOCK_RATE) as u64 + LEASE_MARGIN_MS;
+
+/// A run that may be on the runner.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    pub attempt: u64,
+    pub resources: Resources,
+    /// The batch that keeps it; it is ordered only then.
+    pub batch: u64,
+    /// It is no longer wanted.
+    pub stop: bool,
+    /// The first revision of orders without its start.
+    pub withdrawn: Option<u64>,
+    /// The newest report lists it as active.
+    pub active: bool,
+    /// A report has listed it as active.
+    pub seen: bool,
+    pub since: Time,
+    /// Its progress, by the runner's word, and when that last moved.
+    pub percent: u8,
+    pub moved_at: Time,
+}
+
+/// What was last sent as orders; a difference makes a new revision.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OrderedSet {
+    pub start: BTreeSet<(TaskId, u64)>,
+    pub stop: Vec<StopOrder>,
+    pub observed: u64,
+    pub instance: String,
+}
+
+/// An end that was laid into a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct NotedEnd {
+    pub number: u64,
+    pub batch: u64,
+}
+
+/// A runner, named by its agent.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    pub agent: Incarnation,
+    /// Incarnations of the agent that have been replaced.
+    pub replaced: Vec<Incarnation>,
+    pub sequence: u64,
+    pub present: bool,
+    pub instance: String,
+    pub service: String,
+    pub labels: Vec<String>,
+    pub capacity: Resources,
+    pub draining: bool,
+    pub lapsed: bool,
+    /// While it drains: the time that is left at least, in milliseconds.
+    pub remaining_ms: u64,
+    /// A settled report has come in this term for this instance: all that may run there is known.
+    pub known: bool,
+    pub heard: Time,
+    pub silent_ms: u64,
+    /// When a lease was last granted, or could have been by an earlier scheduler.
+    pub granted: Time,
+    pub revision: u64,
+    pub ordered: OrderedSet,
+    pub assigned: BTreeMap<TaskId, Assignment>,
+    /// Active runs that nobody assigned.
+    pub unknown: Vec<StopOrder>,
+    /// Ends up to this number are in batches.
+    pub noted: u64,
+    pub ends: VecDeque<NotedEnd>,
+    pub observed: u64,
+    pub health: Health,
+}
+
+impl Runner {
+    /// A runner of which only the name is known. `granted`: when a lease may last have been granted.
+    pub fn new(granted: Time) -> Runner {
+        Runner {
+            agent: 0,
+            replaced: Vec::new(),
+            sequence: 0,
+            present: false,
+            instance: String::new(),
+            service: String::new(),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            draining: false,
+            lapsed: false,
+            remaining_ms: 0,
+            known: false,
+            heard: Time::default(),
+            silent_ms: 0,
+            granted,
+            revision: 0,
+            ordered: OrderedSet::default(),
+            assigned: BTreeMap::new(),
+            unknown: Vec::new(),
+            noted: 0,
+            ends: VecDeque::new(),
+            observed: 0,
+            health: Health::default(),
+        }
+    }
+
+    /// True where runs may be started there, room aside.
+    pub fn usable(&self, now: Time) -> bool {
+        self.reachable(now) && self.health.may_start(now)
+    }
+
+    /// True where it is present, known, well and heard of.
+    pub fn reachable(&self, now: Time) -> bool {
+        let heard = now.millis_since(self.heard) < UNHEARD_MS && self.silent_ms < SILENT_MS;
+        self.present && self.known && heard && !self.draining && !self.lapsed && self.unknown.is_empty()
+    }
+
+    /// Its capacity less what may be running there.
+    pub fn room(&self) -> Resources {
+        let mut room = self.capacity;
+        for assignment in self.assigned.values() {
+            let used = assignment.resources;
+            room.cpu = room.cpu.saturating_sub(used.cpu);
+            room.mem_mb = room.mem_mb.saturating_sub(used.mem_mb);
+            room.gpu = room.gpu.saturating_sub(used.gpu);
+        }
+        room
+    }
+
+    /// True where nothing can be running there any more, because no lease can still last.
+    pub fn is_over(&self, now: Time) -> bool {
+        now.millis_since(self.granted) > OVER_AFTER_MS
+    }
+
+    /// The rack among its labels: the last one.
+    pub fn rack(&self) -> &str {
+        self.labels.last().map_or("", String::as_str)
+    }
+
+    /// Notes that batches up to `committed` are kept: ends in them are observed.
+    pub fn observe(&mut self, kept: impl Fn(u64) -> bool) {
+        while let Some(end) = self.ends.front().filter(|end| kept(end.batch)) {
+            self.observed = self.observed.max(end.number);
+            self.ends.pop_front();
+        }
+    }
+
+    /// Forgets what belongs to one instance.
+    pub fn replace_instance(&mut self, instance: &str) {
+        self.instance = instance.to_owned();
+        self.known = false;
+        self.lapsed = false;
+        self.noted = 0;
+        self.observed = 0;
+        self.ends.clear();
+        self.unknown.clear();
+        self.health = Health::default();
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,441 @@
+//! The service that runs on the elected core process: ties jobs, runners, queue and ledger together.
+use crate::clock::SteadyDay;
+use crate::ids::{JobId, StepId, TaskId};
+use crate::job::Job;
+use crate::ledger::Ledger;
+use crate::placement::{fits, HeldStep, OpenRunner, Pass, Placement};
+use crate::preempt::Reservation;
+use crate::queue::{DueTime, DueTimes, HeldKey, HeldQueue};
+use crate::record::{AssignmentRecord, Key, Outcome, TaskRecord};
+use crate::runner::{Assignment, Runner};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use sagetrail_config::ConfigDocument;
+use sagetrail_wire::bounds::Bounds;
+use sagetrail_wire::node::Now;
+use sagetrail_wire::service::{Batch, ConfigInForce, Restored, Service};
+use sagetrail_wire::{Epoch, Message, NodeId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The timer of the placement, in milliseconds.
+const TIMER_MS: u64 = 100;
+/// The timer where nothing is held and nothing runs, in milliseconds.
+const IDLE_TIMER_MS: u64 = 500;
+/// One pass looks at so many held steps of a service.
+const HELD_IN_A_PASS: usize = 256;
+/// A task that has waited so long no longer avoids runners at which it failed, in milliseconds.
+const AVOID_MS: u64 = 2_500;
+/// The state of an ended job is told for so long beyond the bound, in milliseconds.
+const RETENTION_MARGIN_MS: u64 = 60_000;
+/// Ended jobs are looked through this often, in milliseconds.
+const PURGE_INTERVAL_MS: u64 = 1_000;
+
+/// What the deployment says.
+#[derive(Clone, Copy, Debug)]
+pub struct SchedulerSettings {
+    pub bounds: Bounds,
+}
+
+/// All jobs and runners for one term.
+pub struct Scheduler {
+    pub(crate) settings: SchedulerSettings,
+    pub(crate) epoch: Epoch,
+    pub(crate) started_at: Time,
+    pub(crate) day: SteadyDay,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) config: Option<ConfigDocument>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have not ended.
+    pub(crate) active: BTreeSet<JobId>,
+    pub(crate) runners: BTreeMap<NodeId, Runner>,
+    pub(crate) queue: HeldQueue,
+    pub(crate) due_times: DueTimes,
+    pub(crate) ledger: Ledger,
+    pub(crate) next_order: u64,
+    /// Runners that may need new orders.
+    pub(crate) changed: BTreeSet<NodeId>,
+    /// Runners with assignments in batches that are not kept yet.
+    uncommitted: BTreeMap<u64, BTreeSet<NodeId>>,
+    /// Room that is kept for a step.
+    pub(crate) reservations: BTreeMap<NodeId, Reservation>,
+    /// Room or held steps have changed since the last pass.
+    pub(crate) place_again: bool,
+    next_timer: Time,
+    next_purge: Time,
+    /// When the next time of a job falls due.
+    next_due: Option<Time>,
+}
+
+impl Scheduler {
+    /// Starts a term from the records of earlier ones.
+    pub fn new(settings: SchedulerSettings, now: Now, restored: Restored) -> Scheduler {
+        let mut scheduler = Scheduler {
+            settings,
+            epoch: restored.epoch,
+            started_at: now.steady,
+            day: SteadyDay::new(now),
+            random: Pcg64Mcg::seed_from_u64(restored.seed),
+            config: None,
+            jobs: BTreeMap::new(),
+            active: BTreeSet::new(),
+            runners: BTreeMap::new(),
+            queue: HeldQueue::default(),
+            due_times: DueTimes::default(),
+            ledger: Ledger::new(),
+            next_order: 1,
+            changed: BTreeSet::new(),
+            uncommitted: BTreeMap::new(),
+            reservations: BTreeMap::new(),
+            place_again: true,
+            next_timer: now.steady.plus_millis(TIMER_MS),
+            next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
+            next_due: None,
+        };
+        scheduler.restore(now, &restored.records);
+        if let Some(config) = restored.config {
+            scheduler.adopt_config(&config);
+        }
+        scheduler.hold_all(now);
+        scheduler
+    }
+
+    /// Takes a newer configuration; queues' services and priorities follow it.
+    pub(crate) fn adopt_config(&mut self, config: &ConfigInForce) {
+        if self.config.as_ref().is_some_and(|current| current.version >= config.version) {
+            return;
+        }
+        match ConfigDocument::parse(&config.document) {
+            Ok(document) => self.config = Some(document),
+            Err(error) => {
+                log::error!("configuration {} cannot be read: {error}", config.version);
+                return;
+            }
+        }
+        let active: Vec<JobId> = self.active.iter().copied().collect();
+        active.into_iter().for_each(|id| self.follow_route(id));
+        self.place_again = true;
+    }
+
+    fn follow_route(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let routes = self.config.iter().flat_map(|config| &config.routes);
+        let Some(route) = routes.into_iter().find(|route| route.name == job.terms.queue) else { return };
+        job.terms.service = route.service.clone();
+        job.terms.max_attempts = route.max_attempts.max(1);
+        job.terms.priority = route.priority;
+        let steps: Vec<StepId> = (0..job.times.len() as u32).flat_map(|time| job.steps_of(time)).collect();
+        steps.into_iter().for_each(|step| self.refresh_step(step));
+    }
+
+    /// Holds every step of every job whose turn has come.
+    fn hold_all(&mut self, now: Now) {
+        let active: Vec<JobId> = self.active.iter().copied().collect();
+        active.into_iter().for_each(|id| self.hold_job(now, id));
+    }
+
+    /// Holds the steps of a job whose turn has come, and waits for times that are not due.
+    pub(crate) fn hold_job(&mut self, now: Now, id: JobId) {
+        let day_ms = self.day.millis(now);
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(spec) = job.spec.clone() else { return };
+        for time in 0..job.times.len() as u32 {
+            match spec.due_ms(time) {
+                Some(at_ms) if at_ms > day_ms => self.due_times.add(DueTime { at_ms, job: id, time }),
+                _ => self.open_time(id, time),
+            }
+        }
+    }
+
+    fn open_time(&mut self, id: JobId, time: u32) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        job.steps_of(time).into_iter().for_each(|step| self.refresh_step(step));
+    }
+
+    fn open_due_times(&mut self, now: Now) {
+        let day_ms = self.day.millis(now);
+        while let Some(due) = self.due_times.take_due(day_ms) {
+            self.open_time(due.job, due.time);
+        }
+        let wait_ms = self.due_times.next_ms().map(|at_ms| (at_ms - day_ms).max(1) as u64);
+        self.next_due = wait_ms.map(|wait_ms| now.steady.plus_millis(wait_ms));
+    }
+
+    /// True where a time of a job has come.
+    fn is_due(&self, job: &Job, time: u32) -> bool {
+        let waits = |spec: &std::sync::Arc<crate::spec::JobSpec>| spec.due_ms(time);
+        let due = job.spec.as_ref().and_then(waits);
+        due.is_none_or(|at_ms| !self.due_times.contains(DueTime { at_ms, job: job.id, time }))
+    }
+
+    /// Holds a step or releases it, by what is left to start of it.
+    pub(crate) fn refresh_step(&mut self, id: StepId) {
+        let Some(job) = self.jobs.get(&id.job) else { return self.queue.release(id) };
+        let (Some(stage), Some(step)) = (job.stage(id), job.step(id)) else { return self.queue.release(id) };
+        let whole = !stage.gang || step.waiting.len() == step.tasks.len();
+        let turn = !step.waiting.is_empty() && whole && job.dependencies_met(id) && self.is_due(job, id.time);
+        if !turn {
+            return self.queue.release(id);
+        }
+        let key = HeldKey { priority: job.terms.priority, order: job.terms.order, step: id };
+        self.queue.hold(&job.terms.service, key);
+        self.place_again = true;
+    }
+
+    /// One pass of the placement for each service with held steps.
+    fn place(&mut self, now: Now) {
+        self.place_again = false;
+        for service in self.queue.services() {
+            let runners = self.open_runners(now, &service);
+            if runners.is_empty() {
+                continue;
+            }
+            let keys = self.queue.held(&service, HELD_IN_A_PASS);
+            let held: Vec<HeldStep> = keys.into_iter().filter_map(|key| self.held_step(now, key)).collect();
+            let held = held.into_iter().filter(|held| runners.iter().any(|r| fits(held.resources, r.room)));
+            let placements = Pass::new(runners.clone(), held.collect(), &mut self.random).run();
+            self.assign_all(now, &placements);
+        }
+    }
+
+    fn open_runners(&self, now: Now, service: &str) -> Vec<OpenRunner> {
+        let usable = |runner: &&Runner| runner.service == service && runner.usable(now.steady);
+        let open =
+            self.runners.iter().filter(|(_, runner)| usable(runner)).map(|(&node, runner)| OpenRunner {
+                node,
+                room: runner.room(),
+                labels: runner.labels.clone(),
+                rack: runner.rack().to_owned(),
+                reserved: self.reservations.get(&node).copied(),
+                starts: if runner.health.is_well() { u32::MAX } else { 1 },
+            });
+        open.filter(|open| open.room.cpu > 0).collect()
+    }
+
+    fn held_step(&self, now: Now, key: HeldKey) -> Option<HeldStep> {
+        let job = self.jobs.get(&key.step.job)?;
+        let (stage, step) = (job.stage(key.step)?, job.step(key.step)?);
+        let held_ms = now.steady.millis_since(step.waiting_since.max(job.taken_at));
+        let mut avoiding = BTreeMap::new();
+        if held_ms < AVOID_MS {
+            let waiting = step.waiting.iter().filter_map(|&index| step.tasks.get(index as usize));
+            waiting.flat_map(|task| &task.avoid).for_each(|&node| *avoiding.entry(node).or_default() += 1);
+        }
+        let mut carried = BTreeMap::new();
+        if stage.anti_affinity > 0 {
+            step.tasks
+                .iter()
+                .filter_map(|task| task.on)
+                .for_each(|node| *carried.entry(node).or_default() += 1);
+        }
+        Some(HeldStep {
+            id: key.step,
+            priority: key.priority,
+            resources: stage.resources(),
+            waiting: step.waiting.len() as u32,
+            gang: stage.gang,
+            rack_local: stage.rack_local,
+            held_ms,
+            affinity: stage.affinity.clone(),
+            constraints: stage.constraints.clone(),
+            anti_affinity: stage.anti_affinity,
+            carried,
+            avoiding,
+        })
+    }
+
+    fn assign_all(&mut self, now: Now, placements: &[Placement]) {
+        let mut gang_attempts: BTreeMap<StepId, u64> = BTreeMap::new();
+        for placement in placements {
+            let Some(job) = self.jobs.get(&placement.step.job) else { continue };
+            let Some(step) = job.step(placement.step) else { continue };
+            if job.stage(placement.step).is_some_and(|stage| stage.gang) {
+                gang_attempts.entry(placement.step).or_insert_with(|| step.next_gang_attempt());
+            }
+            let avoids = |index: &u32| step.tasks[*index as usize].avoid.contains(&placement.runner);
+            let calm = step.waiting.iter().copied().find(|index| !avoids(index));
+            let Some(index) = calm.or(step.waiting.first().copied()) else { continue };
+            let attempt = gang_attempts.get(&placement.step).copied();
+            self.assign(now, TaskId { step: placement.step, index }, placement.runner, attempt);
+        }
+    }
+
+    fn assign(&mut self, now: Now, id: TaskId, node: NodeId, gang_attempt: Option<u64>) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(resources) = job.stage(id.step).map(|stage| stage.resources()) else { return };
+        job.begun = true;
+        let Some(step) = job.step_mut(id.step) else { return };
+        let Some(task) = step.tasks.get_mut(id.index as usize) else { return };
+        task.attempt = gang_attempt.unwrap_or(task.attempt + 1);
+        task.on = Some(node);
+        let attempt = task.attempt;
+        step.waiting.remove(&id.index);
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        runner.health.started();
+        let assignment = Assignment {
+            attempt,
+            resources,
+            batch: 0,
+            stop: false,
+            withdrawn: None,
+            active: false,
+            seen: false,
+            since: now.steady,
+            percent: 0,
+            moved_at: now.steady,
+        };
+        runner.assigned.insert(id, assignment);
+        let batch = self.write_task(id);
+        if let Some(assignment) = self.runners.get_mut(&node).and_then(|runner| runner.assigned.get_mut(&id))
+        {
+            assignment.batch = batch;
+        }
+        self.uncommitted.entry(batch).or_default().insert(node);
+        self.refresh_step(id.step);
+    }
+
+    /// Lays a task's record into the open batch and tells its number.
+    pub(crate) fn write_task(&mut self, id: TaskId) -> u64 {
+        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            return self.ledger.delete(Key::Task(id));
+        };
+        let runner = task.on.and_then(|node| self.runners.get(&node).map(|runner| (node, runner)));
+        let assigned = runner.and_then(|(node, runner)| runner.assigned.get(&id).map(|a| (node, runner, a)));
+        let assignment = assigned.map(|(agent, runner, assignment)| AssignmentRecord {
+            agent,
+            instance: runner.instance.as_str().into(),
+            resources: assignment.resources,
+        });
+        let record = TaskRecord {
+            done: u8::from(task.done),
+            attempt: task.attempt,
+            failures: task.failures,
+            failed_attempt: task.failed_attempt,
+            saved: task.saved.as_str().into(),
+            assigned: u8::from(assignment.is_some()),
+            assignment: assignment.unwrap_or_default(),
+        };
+        self.ledger.put_task(Key::Task(id), &record)
+    }
+
+    /// Lays a job's record into the open batch.
+    pub(crate) fn write_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.batch = self.ledger.put_job(Key::Job(id), &job.record());
+    }
+
+    /// After each event: due times, placement, orders.
+    fn settle(&mut self, now: Now) {
+        self.open_due_times(now);
+        if self.place_again && !self.queue.is_empty() {
+            self.place(now);
+        }
+        self.send_changed_orders(now);
+    }
+
+    fn purge(&mut self, now: Now) {
+        if now.steady < self.next_purge {
+            return;
+        }
+        self.next_purge = now.steady.plus_millis(PURGE_INTERVAL_MS);
+        let retention_ms = (self.settings.bounds.status_s * 1000.0) as u64 + RETENTION_MARGIN_MS;
+        let over = |job: &&Job| job.ended_at.is_some_and(|at| now.steady.millis_since(at) > retention_ms);
+        let old: Vec<JobId> = self.jobs.values().filter(over).map(|job| job.id).collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.ledger.delete(Key::Job(id));
+        }
+    }
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped unless it ended well.
+    pub(crate) fn end_job(&mut self, now: Now, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.outcome == Outcome::Active) else { return };
+        let steps: Vec<StepId> = (0..job.times.len() as u32).flat_map(|time| job.steps_of(time)).collect();
+        let mut assigned = Vec::new();
+        let mut idle = Vec::new();
+        for &step in &steps {
+            for (index, task) in job.step(step).iter().flat_map(|run| &run.tasks).enumerate() {
+                let task_id = TaskId { step, index: index as u32 };
+                match task.on {
+                    Some(node) => assigned.push((task_id, node)),
+                    None if task.attempt > 0 => idle.push(task_id),
+                    None => {}
+                }
+            }
+        }
+        job.end(outcome, now.steady);
+        self.active.remove(&id);
+        steps.into_iter().for_each(|step| self.queue.release(step));
+        idle.into_iter().for_each(|task| {
+            self.ledger.delete(Key::Task(task));
+        });
+        for (task, node) in assigned {
+            // The members of a gang that has ended well end by themselves.
+            let active =
+                self.runners.get(&node).and_then(|runner| runner.assigned.get(&task)).map(|a| a.active);
+            if outcome != Outcome::Completed || active == Some(false) {
+                self.stop(node, task);
+            }
+        }
+        self.write_job(id);
+    }
+
+    /// A run is no longer wanted.
+    pub(crate) fn stop(&mut self, node: NodeId, id: TaskId) {
+        let assignment = self.runners.get_mut(&node).and_then(|runner| runner.assigned.get_mut(&id));
+        if let Some(assignment) = assignment {
+            assignment.stop = true;
+            self.changed.insert(node);
+        }
+    }
+}
+
+impl Service for Scheduler {
+    fn message(&mut self, now: Now, from: NodeId, message: Message) {
+        match message {
+            Message::ClientRequest(request) => self.client_request(now, from, request),
+            Message::RunnerReport(report) => self.runner_report(now, from, report),
+            _ => {}
+        }
+        self.settle(now);
+    }
+
+    fn config(&mut self, now: Now, config: ConfigInForce) {
+        self.adopt_config(&config);
+        self.settle(now);
+    }
+
+    fn committed(&mut self, now: Now, number: u64) {
+        self.ledger.commit(number);
+        let later = self.uncommitted.split_off(&(number + 1));
+        let kept = std::mem::replace(&mut self.uncommitted, later);
+        self.changed.extend(kept.into_values().flatten());
+        self.observe_ends();
+        self.settle(now);
+    }
+
+    fn wake(&mut self, now: Now) {
+        if now.steady >= self.next_timer {
+            let idle = self.active.is_empty();
+            self.next_timer = now.steady.plus_millis(if idle { IDLE_TIMER_MS } else { TIMER_MS });
+            self.give_up_unreachable(now);
+            self.watch_runs(now);
+            self.place(now);
+            self.queue.services().iter().for_each(|service| self.preempt(now, service));
+            self.purge(now);
+            self.place_again = true;
+        }
+        self.settle(now);
+    }
+
+    fn next_wake(&self) -> Option<Time> {
+        Some(self.next_due.map_or(self.next_timer, |due| due.min(self.next_timer)))
+    }
+
+    fn take_batch(&mut self) -> Option<Batch> {
+        self.ledger.take_batch()
+    }
+
+    fn take_sends(&mut self) -> Vec<(NodeId, Message)> {
+        self.ledger.take_sends()
+    }
+}
--- a/crates/wire/src/collections.rs
+++ b/crates/wire/src/collections.rs
@@ -100,7 +100,7 @@
 fn read_length<R: Read + Seek>(reader: &mut Reader<R>, most: usize) -> Result<usize, DekuError> {
     let length = u32::from_reader_with_ctx(reader, ())? as usize;
     if length > most {
-        return Err(DekuError::Assertion("a length over the limit".into()));
+        return Err(DekuError::Assertion("a length over the limit"));
     }
     Ok(length)
 }
@@ -129,7 +129,7 @@
 impl DekuReader<'_> for Text {
     fn from_reader_with_ctx<R: Read + Seek>(reader: &mut Reader<R>, _: ()) -> Result<Self, DekuError> {
         let bytes = Blob::from_reader_with_ctx(reader, ())?.0;
-        String::from_utf8(bytes).map(Text).map_err(|_| DekuError::Parse("a text that is no UTF-8".into()))
+        String::from_utf8(bytes).map(Text).map_err(|_| DekuError::Parse("a text that is no UTF-8"))
     }
 }
 
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -65,10 +65,19 @@
 /// A change of what is on disk.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum DiskOperation {
-    Put { table: Table, key: Vec<u8>, value: Vec<u8> },
-    Delete { table: Table, key: Vec<u8> },
+    Put {
+        table: Table,
+        key: Vec<u8>,
+        value: Vec<u8>,
+    },
+    Delete {
+        table: Table,
+        key: Vec<u8>,
+    },
     /// Empties a table.
-    Clear { table: Table },
+    Clear {
+        table: Table,
+    },
 }
 
 /// Changes that reach the disk together or not at all, and what waits for that. Writes of one process reach the
@@ -92,13 +101,24 @@
 /// What happens to a process.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Event {
-    Message { from: NodeId, message: Message },
+    Message {
+        from: NodeId,
+        message: Message,
+    },
     /// A request of HTTP; must be answered exactly once with `Outbox::reply`, unless it is abandoned.
-    Http { id: HttpRequestId, door: Door, request: HttpRequest },
+    Http {
+        id: HttpRequestId,
+        door: Door,
+        request: HttpRequest,
+    },
     /// The caller has gone; no answer is needed.
-    HttpAbandoned { id: HttpRequestId },
+    HttpAbandoned {
+        id: HttpRequestId,
+    },
     /// A disk write with this token has been synced.
-    Synced { token: u64 },
+    Synced {
+        token: u64,
+    },
     /// The instant asked for by `Node::next_wake` has come.
     Wake,
     /// The platform wants the process to end within its grace.
