--- /dev/null
+++ b/crates/gateway/src/core_view.rs
@@ -0,0 +1,233 @@
+//! Who the core processes are, which of them schedules, and whether that one answers.
+use sagetrail_wire::directory::{Directory, HELLO_INTERVAL_MS};
+use sagetrail_wire::{Epoch, NodeId, Time};
+
+/// The owner is sought among all core processes, and reached through relays, once silent for so long.
+const SILENT_MS: u64 = 700;
+/// New jobs are refused once the owner has been silent for so long.
+const UNRESPONSIVE_MS: u64 = 1500;
+/// The owner counts as answering, for readiness, for so long after its last word.
+const ANSWERED_MS: u64 = 2500;
+/// The owner is sought this often.
+const SEEK_INTERVAL_MS: u64 = 250;
+/// Greetings asked for out of turn are at least so far apart.
+const LEAST_INTERVAL_MS: u64 = 50;
+/// Each so many greetings another core process is asked as well, for a newer term than the owner knows.
+const SECOND_OPINION_EVERY: u64 = 4;
+
+/// A scheduler and its term.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct Owner {
+    pub(crate) node: NodeId,
+    pub(crate) epoch: Epoch,
+}
+
+/// What is known of the core.
+#[derive(Debug)]
+pub(crate) struct CoreView {
+    own: NodeId,
+    seeds: Vec<NodeId>,
+    members: Vec<NodeId>,
+    members_version: u64,
+    relays: Vec<NodeId>,
+    /// The newest term of which an owner was named.
+    epoch: Epoch,
+    owner: Option<Owner>,
+    /// Said of itself that it is not the owner; only its own word changes that.
+    disowned: Option<Owner>,
+    adopted_at: Time,
+    heard_at: Option<Time>,
+    heard_directly_at: Option<Time>,
+    next_hello: Time,
+    last_hello: Option<Time>,
+    hellos: u64,
+}
+
+impl CoreView {
+    /// Knows the seeds only.
+    pub(crate) fn new(own: NodeId, seeds: Vec<NodeId>, now: Time) -> CoreView {
+        CoreView {
+            own,
+            seeds,
+            members: Vec::new(),
+            members_version: 0,
+            relays: Vec::new(),
+            epoch: 0,
+            owner: None,
+            disowned: None,
+            adopted_at: now,
+            heard_at: None,
+            heard_directly_at: None,
+            next_hello: now,
+            last_hello: None,
+            hellos: 0,
+        }
+    }
+
+    /// The scheduler as far as known.
+    pub(crate) fn owner(&self) -> Option<NodeId> {
+        self.owner.map(|owner| owner.node)
+    }
+
+    /// The members of the core, or the seeds before any are known.
+    pub(crate) fn core(&self) -> &[NodeId] {
+        if self.members.is_empty() {
+            &self.seeds
+        } else {
+            &self.members
+        }
+    }
+
+    /// Who may pass messages on to the owner.
+    pub(crate) fn relays(&self) -> Vec<NodeId> {
+        let mut relays = Vec::new();
+        for node in self.core().iter().chain(&self.relays) {
+            let third = *node != self.own && Some(*node) != self.owner();
+            if third && !relays.contains(node) {
+                relays.push(*node);
+            }
+        }
+        relays
+    }
+
+    /// Takes a directory that `from` sent. True where another owner is known now.
+    pub(crate) fn take_directory(
+        &mut self, now: Time, from: NodeId, direct: bool, directory: Directory,
+    ) -> bool {
+        if directory.members_version >= self.members_version && !directory.members.is_empty() {
+            self.members_version = directory.members_version;
+            self.members = directory.members.0;
+        }
+        if directory.epoch >= self.epoch {
+            self.relays = directory.relays.0;
+        }
+        let named = Owner { node: directory.owner, epoch: directory.epoch };
+        let adopted = self.take_owner(now, from, named);
+        if self.owner() == Some(from) && self.owner != Some(named) {
+            self.disown(now, from);
+        }
+        if self.owner == Some(named) {
+            self.heard_from(now, from, direct);
+        }
+        adopted
+    }
+
+    /// Takes the word of `from` that it is not the scheduler. True where another owner is known now.
+    pub(crate) fn take_not_owner(&mut self, now: Time, from: NodeId, named: Owner) -> bool {
+        let adopted = named.node != from && self.take_owner(now, from, named);
+        if self.owner() == Some(from) {
+            self.disown(now, from);
+        }
+        adopted
+    }
+
+    /// Something came from `from`.
+    pub(crate) fn heard_from(&mut self, now: Time, from: NodeId, direct: bool) {
+        if self.owner() != Some(from) {
+            return;
+        }
+        self.heard_at = Some(now);
+        if direct {
+            self.heard_directly_at = Some(now);
+        }
+    }
+
+    fn take_owner(&mut self, now: Time, from: NodeId, named: Owner) -> bool {
+        let newer = named.epoch > self.epoch;
+        let refound = named.epoch == self.epoch && self.owner.is_none();
+        let credible = self.disowned != Some(named) || from == named.node;
+        if named.node == NodeId::default() || !(newer || refound) || !credible {
+            return false;
+        }
+        log::info!("scheduler is {} in term {}", named.node, named.epoch);
+        self.epoch = named.epoch;
+        self.owner = Some(named);
+        self.disowned = None;
+        self.adopted_at = now;
+        self.heard_at = None;
+        self.heard_directly_at = None;
+        self.ask_soon(now);
+        true
+    }
+
+    fn disown(&mut self, now: Time, node: NodeId) {
+        log::info!("{node} is no longer the scheduler");
+        self.disowned = self.owner.take();
+        self.heard_at = None;
+        self.heard_directly_at = None;
+        self.ask_soon(now);
+    }
+
+    /// Brings the next greeting forward.
+    pub(crate) fn ask_soon(&mut self, now: Time) {
+        let earliest = self.last_hello.map_or(now, |last| last.plus_millis(LEAST_INTERVAL_MS).max(now));
+        self.next_hello = self.next_hello.min(earliest);
+    }
+
+    /// True while the owner is known and has not been silent for too long to be given a new job.
+    pub(crate) fn owner_responsive(&self, now: Time) -> bool {
+        self.owner.is_some() && self.silent_ms(now, self.heard_at) <= UNRESPONSIVE_MS
+    }
+
+    /// True while the owner is known and has answered lately.
+    pub(crate) fn owner_answers(&self, now: Time) -> bool {
+        self.heard_at.is_some_and(|heard| now.millis_since(heard) <= ANSWERED_MS)
+    }
+
+    /// True where the owner is known and not heard on the straight way.
+    pub(crate) fn wants_relay(&self, now: Time) -> bool {
+        self.owner.is_some() && self.silent_ms(now, self.heard_directly_at) > SILENT_MS
+    }
+
+    /// When the owner counts as silent unless it is heard before.
+    fn silent_from(&self) -> Time {
+        self.heard_directly_at.unwrap_or(self.adopted_at).plus_millis(SILENT_MS + 1)
+    }
+
+    fn silent_ms(&self, now: Time, heard: Option<Time>) -> u64 {
+        now.millis_since(heard.unwrap_or(self.adopted_at))
+    }
+
+    /// When the next greeting is due.
+    pub(crate) fn next_hello(&self) -> Time {
+        self.next_hello
+    }
+
+    /// Whom to greet now; empty where no greeting is due.
+    pub(crate) fn hello_targets(&mut self, now: Time) -> Vec<NodeId> {
+        if now < self.next_hello {
+            return Vec::new();
+        }
+        self.hellos += 1;
+        self.last_hello = Some(now);
+        let settled = self.owner().filter(|_| !self.wants_relay(now));
+        self.next_hello = match settled {
+            Some(_) => now.plus_millis(HELLO_INTERVAL_MS).min(self.silent_from()),
+            None => now.plus_millis(SEEK_INTERVAL_MS),
+        };
+        match settled {
+            Some(owner) => self.owner_and_second(owner),
+            None => self.everyone(),
+        }
+    }
+
+    fn owner_and_second(&self, owner: NodeId) -> Vec<NodeId> {
+        let mut targets = vec![owner];
+        if self.hellos.is_multiple_of(SECOND_OPINION_EVERY) {
+            let others: Vec<NodeId> = self.core().iter().copied().filter(|node| *node != owner).collect();
+            let turn = (self.hellos / SECOND_OPINION_EVERY) as usize;
+            targets.extend(others.get(turn % others.len().max(1)));
+        }
+        targets
+    }
+
+    fn everyone(&self) -> Vec<NodeId> {
+        let mut targets = Vec::new();
+        for node in self.owner().iter().chain(&self.members).chain(&self.seeds) {
+            if *node != self.own && !targets.contains(node) {
+                targets.push(*node);
+            }
+        }
+        targets
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! A gateway, its clock, and what it sends.
+#![allow(dead_code)]
+use sagetrail_gateway::{GatewayNode, GatewaySettings};
+use sagetrail_wire::bounds::Bounds;
+use sagetrail_wire::client::{ClientReply, ClientRequest, NotOwner};
+use sagetrail_wire::collections::{Blob, List};
+use sagetrail_wire::directory::Directory;
+use sagetrail_wire::distribution::{ConfigCurrent, ConfigUpdate};
+use sagetrail_wire::message::Relayed;
+use sagetrail_wire::node::{Door, Event, HttpReply, HttpRequest, HttpRequestId, Method, Node, Now, Outbox};
+use sagetrail_wire::{frame, Message, NodeId, Time};
+
+/// The gateway itself.
+pub const GATEWAY: NodeId = NodeId { ip: 1, port: 7 };
+/// Three core processes.
+pub const CORE: [NodeId; 3] =
+    [NodeId { ip: 11, port: 7 }, NodeId { ip: 12, port: 7 }, NodeId { ip: 13, port: 7 }];
+/// A configuration with small limits.
+pub const DOCUMENT: &str = r#"{"version":5,"routes":[],"services":[],"limits":{"max_body_bytes":100}}"#;
+
+/// A gateway driven by a script.
+pub struct Rig {
+    pub node: GatewayNode,
+    pub now_ms: u64,
+    pub outbox: Outbox,
+    next_id: u64,
+}
+
+impl Rig {
+    /// A gateway that has just started; its first sends are in the outbox.
+    pub fn new() -> Rig {
+        Rig::with_bounds(Bounds::default())
+    }
+
+    pub fn with_bounds(bounds: Bounds) -> Rig {
+        let settings =
+            GatewaySettings { node: GATEWAY, incarnation: 77, seeds: CORE.to_vec(), bounds, seed: 5 };
+        let mut outbox = Outbox::default();
+        let node = GatewayNode::new(settings, clock(0), &mut outbox);
+        Rig { node, now_ms: 0, outbox, next_id: 1 }
+    }
+
+    /// A gateway that knows the owner (the first of the core, term 1) and a configuration.
+    pub fn settled() -> Rig {
+        let mut rig = Rig::new();
+        rig.directory(CORE[0], 1, CORE[0]);
+        rig.update(CORE[1], 5);
+        rig.clear();
+        rig
+    }
+
+    pub fn clear(&mut self) {
+        self.outbox.sends.clear();
+        self.outbox.replies.clear();
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.node.handle(clock(self.now_ms), event, &mut self.outbox);
+    }
+
+    pub fn message(&mut self, from: NodeId, message: Message) {
+        self.event(Event::Message { from, message });
+    }
+
+    /// Goes on by `millis`, waking the node exactly when it asks for it.
+    pub fn pass(&mut self, millis: u64) {
+        let end = self.now_ms + millis;
+        while let Some(wake) = self.node.next_wake() {
+            let wake_ms = wake.0.div_ceil(1000);
+            if wake_ms > end {
+                break;
+            }
+            assert!(wake_ms >= self.now_ms, "a wake in the past");
+            let last = self.now_ms;
+            self.now_ms = wake_ms;
+            self.event(Event::Wake);
+            let next = self.node.next_wake().unwrap();
+            assert!(next > Time(wake_ms * 1000) || wake_ms > last, "wakes without an end");
+        }
+        self.now_ms = end;
+    }
+
+    /// Goes on by `millis` while the owner and the parents answer every 100 ms.
+    pub fn pass_in_touch(&mut self, millis: u64, owner: NodeId, epoch: u64, version: u64) {
+        for _ in 0..millis / 100 {
+            self.pass(100);
+            self.directory(owner, epoch, owner);
+            for parent in CORE {
+                self.message(parent, Message::ConfigCurrent(ConfigCurrent { version, age_ms: 0 }));
+            }
+        }
+    }
+
+    pub fn directory(&mut self, from: NodeId, epoch: u64, owner: NodeId) {
+        self.message(from, directory(epoch, owner));
+    }
+
+    pub fn update(&mut self, from: NodeId, version: u64) {
+        let document = Blob(DOCUMENT.replace('5', &version.to_string()).into_bytes());
+        self.message(from, Message::ConfigUpdate(ConfigUpdate { version, document }));
+    }
+
+    pub fn not_owner(&mut self, from: NodeId, request: u64, epoch: u64, owner: NodeId) {
+        self.message(from, Message::NotOwner(NotOwner { request, epoch, owner }));
+    }
+
+    pub fn answer(&mut self, from: NodeId, request: u64, status: u16) {
+        self.message(from, reply(request, status));
+    }
+
+    pub fn http(&mut self, method: Method, body: Vec<u8>, deadline_ms: Option<u64>) -> HttpRequestId {
+        let id = HttpRequestId(self.next_id);
+        self.next_id += 1;
+        let request = HttpRequest {
+            method,
+            host: "a.example".to_owned(),
+            path: "/one/5c0e7a21d94b36f8".to_owned(),
+            base_version: None,
+            deadline_ms,
+            body,
+        };
+        self.event(Event::Http { id, door: Door::Frontend, request });
+        id
+    }
+
+    pub fn submit(&mut self) -> HttpRequestId {
+        self.http(Method::Post, b"{}".to_vec(), None)
+    }
+
+    pub fn readiness(&mut self) -> u16 {
+        let id = HttpRequestId(self.next_id);
+        self.next_id += 1;
+        let request = HttpRequest {
+            method: Method::Get,
+            host: String::new(),
+            path: "/v1/readyz".to_owned(),
+            base_version: None,
+            deadline_ms: None,
+            body: Vec::new(),
+        };
+        self.event(Event::Http { id, door: Door::Readiness, request });
+        self.reply_to(id).expect("readiness is answered at once").status
+    }
+
+    pub fn reply_to(&self, id: HttpRequestId) -> Option<HttpReply> {
+        let mut replies = self.outbox.replies.iter().filter(|(of, _)| *of == id);
+        let first = replies.next().map(|(_, reply)| reply.clone());
+        assert!(replies.next().is_none(), "answered twice");
+        first
+    }
+
+    pub fn status_of(&self, id: HttpRequestId) -> Option<u16> {
+        self.reply_to(id).map(|reply| reply.status)
+    }
+
+    /// Requests sent straight since the last clearing.
+    pub fn requests(&self) -> Vec<(NodeId, ClientRequest)> {
+        let request = |(to, message): &(NodeId, Message)| match message {
+            Message::ClientRequest(request) => Some((*to, request.clone())),
+            _ => None,
+        };
+        self.outbox.sends.iter().filter_map(request).collect()
+    }
+
+    /// Relayed messages since the last clearing: through whom, and what.
+    pub fn relayed(&self) -> Vec<(NodeId, Relayed)> {
+        let relayed = |(to, message): &(NodeId, Message)| match message {
+            Message::Relayed(relayed) => Some((*to, relayed.clone())),
+            _ => None,
+        };
+        self.outbox.sends.iter().filter_map(relayed).collect()
+    }
+
+    pub fn hellos(&self) -> Vec<NodeId> {
+        let hello = |(to, message): &(NodeId, Message)| matches!(message, Message::Hello(_)).then_some(*to);
+        self.outbox.sends.iter().filter_map(hello).collect()
+    }
+
+    pub fn subscriptions(&self) -> Vec<(NodeId, u64)> {
+        let subscription = |(to, message): &(NodeId, Message)| match message {
+            Message::Subscribe(subscribe) => Some((*to, subscribe.have)),
+            _ => None,
+        };
+        self.outbox.sends.iter().filter_map(subscription).collect()
+    }
+}
+
+/// The clocks at `millis`.
+pub fn clock(millis: u64) -> Now {
+    Now { steady: Time(millis * 1000), wall_ms: 1_700_000_000_000 + millis as i64 }
+}
+
+pub fn directory(epoch: u64, owner: NodeId) -> Message {
+    Message::Directory(Directory {
+        members_version: 1,
+        members: List(CORE.to_vec()),
+        epoch,
+        owner,
+        config_version: 5,
+        relays: List(Vec::new()),
+    })
+}
+
+pub fn reply(request: u64, status: u16) -> Message {
+    let body = Blob(b"{\"state\":\"queued\"}".to_vec());
+    Message::ClientReply(ClientReply { request, status, retry_after_ms: 0, body, config_version: 6 })
+}
+
+/// `message` as one that a third process passes on to the gateway.
+pub fn passed_on(from: NodeId, message: &Message) -> Message {
+    Message::Relayed(Relayed { from, to: GATEWAY, payload: Blob(frame::encode(message).unwrap()) })
+}
