--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -12,11 +12,14 @@
 use sagetrail_wire::agent::Resources;
 use sagetrail_wire::NodeId;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Below this chance a runner is skipped.
 pub const P_MIN: f64 = 0.4;
 /// The cost of a task away from its data; near it the cost is zero.
 const FAR_COST: f64 = 1.0;
+/// The mean cost is taken over so many of the runners with room, at random.
+const SAMPLED_RUNNERS: usize = 64;
 /// A gang bound to a rack waits so long for one before it is spread, in milliseconds.
 const RACK_PATIENCE_MS: u64 = 1_500;
 
@@ -25,14 +28,20 @@
 pub struct OpenRunner {
     pub node: NodeId,
     pub room: Resources,
-    pub labels: Vec<String>,
-    pub rack: String,
+    pub labels: Arc<[String]>,
     /// Its room is kept for this step, unless the other one has a higher priority.
     pub reserved: Option<Reservation>,
     /// At most so many further starts (a suspect runner is tried with one).
     pub starts: u32,
 }
 
+impl OpenRunner {
+    /// The rack among its labels: the last one.
+    fn rack(&self) -> &str {
+        self.labels.last().map_or("", String::as_str)
+    }
+}
+
 /// A step with tasks that wait.
 #[derive(Clone, Debug)]
 pub struct HeldStep {
@@ -89,6 +98,8 @@
 pub struct Pass<'a, R: Rng> {
     runners: Vec<OpenRunner>,
     held: Vec<HeldStep>,
+    /// The mean cost of each held step over the runners with room, as the pass began.
+    mean_costs: Vec<f64>,
     random: &'a mut R,
     placed: Vec<Placement>,
 }
@@ -97,7 +108,9 @@
     /// A pass over these.
     pub fn new(mut runners: Vec<OpenRunner>, held: Vec<HeldStep>, random: &'a mut R) -> Pass<'a, R> {
         runners.shuffle(random);
-        Pass { runners, held, random, placed: Vec::new() }
+        let mut pass = Pass { runners, held, mean_costs: Vec::new(), random, placed: Vec::new() };
+        pass.mean_costs = (0..pass.held.len()).map(|h| pass.mean_cost(h)).collect();
+        pass
     }
 
     /// The tasks to start.
@@ -134,7 +147,7 @@
             if self.held[h].gang || !self.may_start(h, r) {
                 continue;
             }
-            let chance = start_chance(self.mean_cost(h), self.cost(h, r));
+            let chance = start_chance(self.mean_costs[h], self.cost(h, r));
             if best.is_none_or(|(_, most)| chance > most) {
                 best = Some((h, chance));
             }
@@ -159,7 +172,8 @@
         if self.held[h].affinity.is_empty() {
             return 0.0;
         }
-        let open: Vec<usize> = (0..self.runners.len()).filter(|&r| self.may_start(h, r)).collect();
+        let sample = 0..self.runners.len().min(SAMPLED_RUNNERS);
+        let open: Vec<usize> = sample.filter(|&r| self.may_start(h, r)).collect();
         let total: f64 = open.iter().map(|&r| self.cost(h, r)).sum();
         total / open.len().max(1) as f64
     }
@@ -208,7 +222,7 @@
         let held = &self.held[h];
         let mut racks: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
         for (r, runner) in self.runners.iter().enumerate() {
-            racks.entry(runner.rack.as_str()).or_default().push(r);
+            racks.entry(runner.rack()).or_default().push(r);
         }
         let within = racks.into_values().filter_map(|runners| self.gang_seats(h, runners));
         let tightest = within.min_by_key(|seats| seats.len());
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -34,7 +34,9 @@
         self.replace_instance(now, from, &report.instance);
         let Some(runner) = self.runners.get_mut(&from) else { return };
         runner.service = report.service.0.clone();
-        runner.labels = report.labels.iter().map(|label| label.0.clone()).collect();
+        if !runner.labels.iter().eq(report.labels.iter().map(|label| &label.0)) {
+            runner.labels = report.labels.iter().map(|label| label.0.clone()).collect();
+        }
         runner.capacity = report.capacity;
         runner.draining = report.draining;
         runner.lapsed = report.lapsed;
--- a/crates/scheduler/src/runner.rs
+++ b/crates/scheduler/src/runner.rs
@@ -4,6 +4,7 @@
 use sagetrail_wire::agent::{Resources, StopOrder, AGENT_LEASE_MS};
 use sagetrail_wire::{Incarnation, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Steady clocks may differ by this share.
 const CLOCK_RATE: f64 = 0.03;
@@ -64,7 +65,7 @@
     pub present: bool,
     pub instance: String,
     pub service: String,
-    pub labels: Vec<String>,
+    pub labels: Arc<[String]>,
     pub capacity: Resources,
     pub draining: bool,
     pub lapsed: bool,
@@ -98,7 +99,7 @@
             present: false,
             instance: String::new(),
             service: String::new(),
-            labels: Vec::new(),
+            labels: Arc::from([]),
             capacity: Resources::default(),
             draining: false,
             lapsed: false,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -204,7 +204,6 @@
                 node,
                 room: runner.room(),
                 labels: runner.labels.clone(),
-                rack: runner.rack().to_owned(),
                 reserved: self.reservations.get(&node).copied(),
                 starts: if runner.health.is_well() { u32::MAX } else { 1 },
             });
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -2,13 +2,19 @@
 //! text, unknown keys refused with the nearest known one, every finding with its place. What it yields is the
 //! platform's page in its own form, so that one reader in the program serves both, and the parts the page has not.
 mod broken;
+mod configuration;
 mod keys;
+mod layers;
+mod paths;
 mod read;
 mod reference;
 mod units;
 
 pub use broken::BROKEN;
-pub use keys::{Key, Of, KEYS};
-pub use read::{nearest, read, Fleet, Layers, Member, Origin, Read, Recorded, Store, Trial, Value};
+pub use configuration::{Configuration, Fleet, Member, Recorded, Store, Trial};
+pub use keys::{Key, Kind, KEYS};
+pub use layers::{Layers, Origin, Value};
+pub use paths::nearest;
+pub use read::read;
 pub use reference::{page, schema};
 pub use units::{bytes, seconds};
--- a/crates/setup/src/reference.rs
+++ b/crates/setup/src/reference.rs
@@ -1,21 +1,21 @@
 //! The reference page and the schema, from the table of keys.
-use crate::keys::{Key, Of, KEYS};
+use crate::keys::{Key, Kind, KEYS};
 use serde_json::{json, Map, Value};
 use std::fmt::Write;
 
-fn kind(of: Of) -> String {
-    match of {
-        Of::Text => "text".to_string(),
-        Of::Word(words) => words.join(" or "),
-        Of::Yes => "true or false".to_string(),
-        Of::Whole(from, to) => format!("whole number, {from} to {to}"),
-        Of::Number(from, to) => format!("number, {from} to {to}"),
-        Of::Time(from, to) => format!("time as text, {from} to {to} s"),
-        Of::Address => "address and port".to_string(),
-        Of::Near => "address and port, loopback or private".to_string(),
-        Of::Texts => "list of text".to_string(),
-        Of::Wholes(from, to) => format!("table of whole numbers, {from} to {to}"),
-        Of::Settings => "table".to_string(),
+fn describe(kind: Kind) -> String {
+    match kind {
+        Kind::Text => "text".to_string(),
+        Kind::OneOf(words) => words.join(" or "),
+        Kind::Bool => "true or false".to_string(),
+        Kind::Integer(from, to) => format!("whole number, {from} to {to}"),
+        Kind::Number(from, to) => format!("number, {from} to {to}"),
+        Kind::Duration(from, to) => format!("time as text, {from} to {to} s"),
+        Kind::Address => "address and port".to_string(),
+        Kind::PrivateAddress => "address and port, loopback or private".to_string(),
+        Kind::TextList => "list of text".to_string(),
+        Kind::IntegerTable(from, to) => format!("table of whole numbers, {from} to {to}"),
+        Kind::Settings => "table".to_string(),
     }
 }
 
@@ -27,39 +27,39 @@
          with a unit: us, ms, s, m, h.\n`[]` stands for a list of tables (`[[categories]]`). A key that is none is \
          refused with the nearest one.\n\n| key | holds | unless given | what it says |\n|---|---|---|---|\n",
     );
-    for Key { path, of, default, what } in KEYS {
+    for Key { path, kind, default, what } in KEYS {
         let _ = writeln!(
             page,
             "| `{path}` | {} | {} | {what} |",
-            kind(*of),
+            describe(*kind),
             if default.is_empty() { "-" } else { default }
         );
     }
     page
 }
 
-fn shape(of: Of) -> Value {
-    match of {
-        Of::Text | Of::Address | Of::Near => json!({"type": "string"}),
-        Of::Word(words) => json!({"enum": words}),
-        Of::Yes => json!({"type": "boolean"}),
-        Of::Whole(from, to) => json!({"type": "integer", "minimum": from, "maximum": to}),
-        Of::Number(from, to) => json!({"type": "number", "minimum": from, "maximum": to}),
-        Of::Time(..) => json!({"type": "string", "pattern": "^[0-9.]+ ?(us|ms|s|m|min|h)$"}),
-        Of::Texts => json!({"type": "array", "items": {"type": "string"}}),
-        Of::Wholes(from, to) => json!({
+fn leaf_schema(kind: Kind) -> Value {
+    match kind {
+        Kind::Text | Kind::Address | Kind::PrivateAddress => json!({"type": "string"}),
+        Kind::OneOf(words) => json!({"enum": words}),
+        Kind::Bool => json!({"type": "boolean"}),
+        Kind::Integer(from, to) => json!({"type": "integer", "minimum": from, "maximum": to}),
+        Kind::Number(from, to) => json!({"type": "number", "minimum": from, "maximum": to}),
+        Kind::Duration(..) => json!({"type": "string", "pattern": "^[0-9.]+ ?(us|ms|s|m|min|h)$"}),
+        Kind::TextList => json!({"type": "array", "items": {"type": "string"}}),
+        Kind::IntegerTable(from, to) => json!({
             "type": "object",
             "additionalProperties": {"type": "integer", "minimum": from, "maximum": to},
         }),
-        Of::Settings => json!({"type": "object"}),
+        Kind::Settings => json!({"type": "object"}),
     }
 }
 
-fn put(into: &mut Map<String, Value>, path: &str, key: &Key) {
+fn insert(into: &mut Map<String, Value>, path: &str, key: &Key) {
     let (name, rest) = path.split_once('.').map_or((path, None), |(name, rest)| (name, Some(rest)));
     let (name, list) = name.strip_suffix("[]").map_or((name, false), |name| (name, true));
     let Some(rest) = rest else {
-        let mut leaf = shape(key.of);
+        let mut leaf = leaf_schema(key.kind);
         leaf["description"] = json!(key.what);
         into.insert(name.to_string(), leaf);
         return;
@@ -69,14 +69,14 @@
     let below = into.entry(name).or_insert(fresh);
     let below = if list { &mut below["items"] } else { below };
     if let Some(properties) = below["properties"].as_object_mut() {
-        put(properties, rest, key);
+        insert(properties, rest, key);
     }
 }
 
 /// A JSON schema of the same.
 pub fn schema() -> Value {
     let mut properties = Map::new();
-    KEYS.iter().for_each(|key| put(&mut properties, key.path, key));
+    KEYS.iter().for_each(|key| insert(&mut properties, key.path, key));
     json!({
         "$schema": "https://json-schema.org/draft/2020-12/schema",
         "title": "sagetrail",
--- a/crates/setup/tests/stories.rs
+++ b/crates/setup/tests/stories.rs
@@ -35,7 +35,7 @@
 at = "10.0.0.2:7001"
 "#;
 
-fn told(text: &str) -> Result<Read, Vec<String>> {
+fn told(text: &str) -> Result<Configuration, Vec<String>> {
     read(&Layers { file: "f".to_string(), text: text.to_string(), ..Layers::default() })
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -126,6 +126,8 @@
 #[derive(DekuRead, DekuWrite, Clone, PartialEq, Eq, Debug)]
 pub struct VoteReply {
     pub epoch: Epoch,
+    /// The candidate's own, as in the request.
+    pub incarnation: Incarnation,
     pub probe: bool,
     pub granted: bool,
     pub sent_at: u64,
