--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -105,7 +105,7 @@
 
     fn deregister(&mut self, now: Time, instance: &str) -> HttpReply {
         if self.runner.deregister(now, instance) {
-            self.pace.note_change();
+            self.note_lapse(now);
         }
         bare(200)
     }
@@ -120,6 +120,9 @@
                 self.counters.replaced_heartbeats += 1;
                 bare(409)
             }
+            Admission::Unconfirmed => {
+                Answer { retry_after_ms: Some(BUSY_RETRY_MS), ..Answer::default() }.into_reply()
+            }
             Admission::Stale => {
                 self.counters.stale_heartbeats += 1;
                 bare(200)
@@ -236,10 +239,15 @@
         }
     }
 
+    fn note_lapse(&mut self, now: Time) {
+        self.orders.void_starts(now);
+        self.pace.note_change();
+    }
+
     /// Does what is due.
     fn poll(&mut self, now: Time, outbox: &mut Outbox) {
         if self.runner.check_lapse(now) {
-            self.pace.note_change();
+            self.note_lapse(now);
         }
         self.uplink.poll(now, outbox);
         if self.report_due().is_some_and(|due| due <= now) {
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -26,6 +26,8 @@
     lease_until: Time,
     low_lease_at: Time,
     settled: bool,
+    /// The runner lapsed then, and the scheduler has answered no later report: it may have given the starts up.
+    starts_void_since: Option<Time>,
     observed_instance: Text,
     observed: u64,
 }
@@ -39,6 +41,7 @@
             lease_until: Time(0),
             low_lease_at: Time(0),
             settled: false,
+            starts_void_since: None,
             observed_instance: Text::default(),
             observed: 0,
         }
@@ -51,6 +54,7 @@
             return Adoption::Older;
         }
         self.extend_lease(now, &orders);
+        self.revive_starts(&orders);
         if order.is_eq() && self.adopted.is_some() {
             return Adoption::Known;
         }
@@ -69,6 +73,19 @@
         !std::mem::replace(&mut self.settled, true)
     }
 
+    /// The runner has lapsed: the scheduler may take every run on it for over, also one that was never started. Starts
+    /// wait until the scheduler answers a report of what has come since.
+    pub fn void_starts(&mut self, now: Time) {
+        self.starts_void_since = Some(now);
+    }
+
+    fn revive_starts(&mut self, orders: &RunnerOrders) {
+        let answers_later = |since: Time| orders.agent == self.agent && Time(orders.sent_at) > since;
+        if self.starts_void_since.is_some_and(answers_later) {
+            self.starts_void_since = None;
+        }
+    }
+
     /// Whether the adopted orders are settled.
     pub fn is_settled(&self) -> bool {
         self.settled
@@ -101,7 +118,8 @@
 
     /// The starts wanted of this instance.
     pub fn starts(&self, instance: &str) -> &[StartOrder] {
-        self.orders_of(instance).map_or(&[], |orders| &orders.start)
+        let orders = self.orders_of(instance).filter(|_| self.starts_void_since.is_none());
+        orders.map_or(&[], |orders| &orders.start)
     }
 
     /// The stops wanted of this instance.
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -49,6 +49,8 @@
     Accepted { changed: bool },
     /// It is not newer than one taken before.
     Stale,
+    /// It is of an unknown instance, perhaps a former one: it must come again, with none of the present one between.
+    Unconfirmed,
     /// It is of an instance that another has replaced.
     Replaced,
 }
@@ -59,13 +61,15 @@
     current: Option<Runner>,
     retired: VecDeque<Text>,
     silence_ms: u64,
+    /// An unknown instance heard since the last heartbeat of the present one.
+    unconfirmed: Option<Text>,
 }
 
 impl RunnerRegister {
     /// A register that knows of no runner yet. Runners send a heartbeat about every `heartbeat_ms`.
     pub fn new(heartbeat_ms: u64) -> RunnerRegister {
         let silence_ms = heartbeat_ms.saturating_add(SILENCE_MARGIN_MS).min(RUNNER_HOLD_MS);
-        RunnerRegister { current: None, retired: VecDeque::new(), silence_ms }
+        RunnerRegister { current: None, retired: VecDeque::new(), silence_ms, unconfirmed: None }
     }
 
     /// The runner, if one is known.
@@ -78,15 +82,25 @@
         if self.is_retired(instance) {
             return Admission::Replaced;
         }
-        match &mut self.current {
-            Some(runner) if &*runner.instance == instance => runner.heartbeat(now, heartbeat),
-            _ => {
-                let mut runner = Runner::new(now, instance);
-                runner.heartbeat(now, heartbeat);
-                self.replace(runner);
-                Admission::Accepted { changed: true }
-            }
+        if let Some(runner) = self.current.as_mut().filter(|runner| &*runner.instance == instance) {
+            self.unconfirmed = None;
+            return runner.heartbeat(now, heartbeat);
         }
+        if self.current.is_some() && !self.confirm(instance) {
+            return Admission::Unconfirmed;
+        }
+        let mut runner = Runner::new(now, instance);
+        runner.heartbeat(now, heartbeat);
+        self.replace(runner);
+        Admission::Accepted { changed: true }
+    }
+
+    /// True at the second heartbeat in a row of an unknown instance. A single one may be late: sent by an instance
+    /// that crashed before it was ever heard, or known to a former agent only.
+    fn confirm(&mut self, instance: &str) -> bool {
+        let known = self.unconfirmed.as_ref().is_some_and(|unconfirmed| &**unconfirmed == instance);
+        self.unconfirmed = Some(Text::from(instance));
+        known
     }
 
     /// Takes a deregistration; true where it changes what is known.
@@ -131,6 +145,7 @@
     }
 
     fn replace(&mut self, runner: Runner) {
+        self.unconfirmed = None;
         let former = self.current.replace(runner);
         if let Some(former) = former {
             self.retire(former.instance);
--- a/crates/agent/tests/heartbeats.rs
+++ b/crates/agent/tests/heartbeats.rs
@@ -93,7 +93,8 @@
     script.orders(orders_with_start(1, 2), true);
     script.beat(3, json!({"active":[[TASK, 1, "", 0]]}));
     script.pass(20);
-    let reply = script.beat_as("i-2", 1, json!({}));
+    script.beat_as("i-2", 1, json!({}));
+    let reply = script.beat_as("i-2", 2, json!({}));
     let answer: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
     assert!(answer["start"].is_null(), "the orders name another instance");
     assert!(answer["observed"].is_null());
@@ -104,6 +105,20 @@
     assert_eq!(script.agent.counters().replaced_heartbeats, 1);
 }
 
+#[test]
+fn a_single_late_heartbeat_is_not_taken_for_a_new_instance() {
+    let mut script = Script::settled();
+    let late = script.beat_as("i-former", 90, json!({"active":[[TASK, 1, "", 0]]}));
+    assert_eq!((late.status, &late.body[..]), (200, &br#"{"retry_after_ms":100}"#[..]));
+    script.beat(3, json!({}));
+    script.beat_as("i-former", 91, json!({}));
+    script.pass(600);
+    assert_eq!(&*script.last_report().instance, RUNNER);
+    script.beat_as("i-new", 1, json!({}));
+    script.beat_as("i-new", 2, json!({}));
+    assert_eq!(&*script.last_report().instance, "i-new");
+}
+
 #[test]
 fn a_draining_runner_is_acknowledged_and_gets_no_start_any_more() {
     let mut script = Script::settled();
--- a/crates/agent/tests/reports.rs
+++ b/crates/agent/tests/reports.rs
@@ -126,6 +126,21 @@
     assert!(!script.last_report().lapsed);
 }
 
+#[test]
+fn starts_ordered_before_a_lapse_wait_for_a_later_answer() {
+    let mut script = Script::settled();
+    script.orders(orders_with_start(1, 2), true);
+    let before = script.now.0;
+    script.pass(3000);
+    assert!(script.last_report().lapsed);
+    assert!(script.beat(3, json!({}))["start"].is_null());
+    script.orders(orders_with_start(1, 2), false);
+    script.orders(RunnerOrders { agent: INCARNATION, sent_at: before, ..orders_with_start(1, 2) }, false);
+    assert!(script.beat(4, json!({}))["start"].is_null());
+    script.orders(orders_with_start(1, 2), true);
+    assert!(script.beat(5, json!({}))["start"].is_array());
+}
+
 #[test]
 fn a_new_agent_waits_for_the_hold_of_its_predecessor() {
     let mut script = Script::new();
--- a/crates/cluster-sim/src/bin/sagetrail-sim.rs
+++ b/crates/cluster-sim/src/bin/sagetrail-sim.rs
@@ -1,6 +1,7 @@
 //! Plays simulated days and prints the rules they break.
 use argh::FromArgs;
-use sagetrail_cluster_sim::scenario::{Report, Scenario};
+use sagetrail_cluster_sim::report::Report;
+use sagetrail_cluster_sim::scenario::Scenario;
 
 /// Plays simulated days of a cluster and prints the rules that they break.
 #[derive(FromArgs)]
--- a/crates/cluster-sim/src/checker/configs.rs
+++ b/crates/cluster-sim/src/checker/configs.rs
@@ -118,11 +118,11 @@
 
 fn read_back(judge: &mut Judge, orders: &BTreeMap<OrderNumber, OrderFact>) {
     let Some(end) = judge.facts.day_end else { return };
-    let reads = judge.history.seen.iter().filter_map(|seen| match &seen.sight {
+    let mut reads = judge.history.seen.iter().rev().filter_map(|seen| match &seen.sight {
         Sight::ConfigRead { sent, content } => Some((*sent, content.clone())),
         _ => None,
     });
-    let last: Option<(Micros, Option<Configuration>)> = reads.last();
+    let last: Option<(Micros, Option<Configuration>)> = reads.next();
     let newest = newest_acknowledged(orders, last.as_ref().map_or(end, |(sent, _)| *sent));
     let shown = last.and_then(|(_, content)| content).map_or(0, |content| content.version);
     if shown < newest {
--- a/crates/cluster-sim/src/cluster/calls.rs
+++ b/crates/cluster-sim/src/cluster/calls.rs
@@ -50,7 +50,7 @@
             ProcessState::Down => self.answer_call(id, Outcome::Broken),
             ProcessState::Frozen => {
                 process.requests.insert(id);
-                process.held.push(Held::Event(event));
+                process.held.push(Held::Event(Box::new(event)));
             }
             ProcessState::Running => {
                 process.requests.insert(id);
--- a/crates/cluster-sim/src/cluster/life.rs
+++ b/crates/cluster-sim/src/cluster/life.rs
@@ -50,7 +50,7 @@
         let now = self.now();
         let Some(process) = self.processes.get_mut(&node) else { return };
         if process.state == ProcessState::Frozen {
-            process.held.push(Held::Event(event));
+            process.held.push(Held::Event(Box::new(event)));
             return;
         }
         let Some(logic) = &mut process.logic else { return };
@@ -152,7 +152,7 @@
         process.state = ProcessState::Running;
         for held in std::mem::take(&mut process.held) {
             match held {
-                Held::Event(event) => self.dispatch(node, event),
+                Held::Event(event) => self.dispatch(node, *event),
                 Held::Synced(synced) => self.tell_synced(node, synced),
             }
         }
--- a/crates/cluster-sim/src/process.rs
+++ b/crates/cluster-sim/src/process.rs
@@ -38,7 +38,7 @@
 
 /// What waits for a frozen process.
 pub enum Held {
-    Event(Event),
+    Event(Box<Event>),
     Synced(Vec<DiskWrite>),
 }
 
--- /dev/null
+++ b/crates/cluster-sim/src/report.rs
@@ -0,0 +1,86 @@
+//! What a day came to, in figures.
+use crate::checker::Violation;
+use crate::engine::{Micros, MILLISECOND};
+use crate::history::{History, ShownState, Sight};
+use crate::workload::Workload;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a day came to.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub violations: Vec<Violation>,
+    pub codec_faults: Vec<String>,
+    pub submitted: usize,
+    pub accepted: usize,
+    pub completed: usize,
+    pub failed: usize,
+    pub cancelled: usize,
+    pub starts: usize,
+    /// From the first send of a job to its first start.
+    pub start_p50_ms: u64,
+    pub start_p99_ms: u64,
+    pub messages: u64,
+    pub message_bytes: u64,
+    pub history: History,
+}
+
+impl Report {
+    /// Counts what was seen; rules are judged elsewhere.
+    pub fn from_history(history: &History, workload: &Workload) -> Report {
+        let mut report = Report { submitted: workload.plans.len(), ..Report::default() };
+        let mut accepted = BTreeSet::new();
+        let mut shown: BTreeMap<&str, &ShownState> = BTreeMap::new();
+        for seen in &history.seen {
+            match &seen.sight {
+                Sight::SubmitAnswered { job, answer } if answer.is_success() => {
+                    accepted.insert(job.as_str());
+                }
+                Sight::StateRead { job, state, .. } => {
+                    shown.insert(job, state);
+                }
+                Sight::Started(_) => report.starts += 1,
+                _ => (),
+            }
+        }
+        let count = |wanted: &ShownState| shown.values().filter(|state| **state == wanted).count();
+        report.accepted = accepted.len();
+        report.completed = count(&ShownState::Completed);
+        report.failed = count(&ShownState::Failed);
+        report.cancelled = count(&ShownState::Cancelled);
+        let waits = waits(history, workload);
+        report.start_p50_ms = percentile(&waits, 50);
+        report.start_p99_ms = percentile(&waits, 99);
+        report
+    }
+}
+
+/// Waits of jobs without due times for their first start, sorted.
+fn waits(history: &History, workload: &Workload) -> Vec<u64> {
+    let mut sent: BTreeMap<&str, Micros> = BTreeMap::new();
+    let mut waits = Vec::new();
+    for seen in &history.seen {
+        match &seen.sight {
+            Sight::SubmitSent { job } => {
+                let timed = workload.book.jobs.get(job).is_some_and(|job| job.repeat > 0);
+                if !timed {
+                    sent.entry(job).or_insert(seen.at);
+                }
+            }
+            Sight::Started(start) => {
+                let job = start.task.split('.').next().unwrap_or_default();
+                if let Some(at) = sent.get_mut(job).filter(|at| **at != Micros::MAX) {
+                    waits.push((seen.at - *at) / MILLISECOND);
+                    *at = Micros::MAX;
+                }
+            }
+            _ => (),
+        }
+    }
+    waits.sort_unstable();
+    waits
+}
+
+fn percentile(sorted: &[u64], percent: usize) -> u64 {
+    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(index).copied().unwrap_or(0)
+}
--- a/crates/cluster-sim/src/runner/mod.rs
+++ b/crates/cluster-sim/src/runner/mod.rs
@@ -1,5 +1,6 @@
 //! A runner beside its agent, as the protocol describes it.
 mod beat;
+mod drain;
 mod orders;
 mod run;
 
@@ -7,6 +8,7 @@
 use crate::engine::{Micros, MILLISECOND, SECOND};
 use crate::history::{EndSeen, RunnerFacts, Sight};
 use crate::job::TaskName;
+use drain::Drain;
 use run::Run;
 use sagetrail_wire::agent::{Resources, RunEnd};
 use sagetrail_wire::NodeId;
@@ -16,8 +18,6 @@
 const BEAT_AFTER_END: Micros = 50 * MILLISECOND;
 /// An answer later than this is dropped.
 const ANSWER_LIMIT: Micros = SECOND;
-/// Without an acknowledgement a runner that leaves ends after so long.
-const LEAVE_WITHOUT_ACK: Micros = 4 * SECOND;
 
 /// What a runner is.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,27 +54,6 @@
     said_draining: bool,
 }
 
-#[derive(Clone, Copy)]
-struct Drain {
-    began: Micros,
-    /// The time that it says is left at least, from its beginning.
-    left: Micros,
-    /// It serves on for so long after the acknowledgement.
-    serves_on: Micros,
-    acknowledged: Option<Micros>,
-    deregister_sent: Option<Micros>,
-}
-
-impl Drain {
-    fn leaves_at(&self) -> Micros {
-        let promised = self.began + self.left;
-        match self.acknowledged {
-            Some(at) => promised.max(at + self.serves_on),
-            None => promised + self.serves_on + LEAVE_WITHOUT_ACK,
-        }
-    }
-}
-
 /// A runner.
 pub struct Runner {
     plan: RunnerPlan,
@@ -242,23 +221,6 @@
         surroundings.history.note(now, Sight::Ended(seen));
         self.beat_due = self.beat_due.min(now + BEAT_AFTER_END);
     }
-
-    fn check_drain(&mut self, now: Micros, surroundings: &mut Surroundings) {
-        let Some(drain) = self.drain else { return };
-        if drain.deregister_sent.is_some_and(|sent| now >= sent + LEAVE_WITHOUT_ACK) {
-            self.end_life(now, now + 5 * SECOND, surroundings);
-        } else if drain.deregister_sent.is_none() && drain.leaves_at() <= now {
-            self.send_deregister(now, surroundings);
-        }
-    }
-
-    fn drain_wake(&self) -> Option<Micros> {
-        let drain = self.drain?;
-        match drain.deregister_sent {
-            Some(sent) => Some(sent + LEAVE_WITHOUT_ACK),
-            None => Some(drain.leaves_at()),
-        }
-    }
 }
 
 impl Actor for Runner {
--- a/crates/cluster-sim/src/scenario.rs
+++ b/crates/cluster-sim/src/scenario.rs
@@ -1,23 +1,20 @@
 //! A day of a cluster, from its plan to its report.
-use crate::checker::{check, Limits, Violation};
+use crate::checker::{check, Limits};
 use crate::client::Clients;
 use crate::cluster::{Factories, Place, PlannedFault, World, WorldPlan};
-use crate::configuration::{Configuration, Patch, RouteItem};
 use crate::disk::DiskSpeed;
 use crate::engine::{Chance, Micros, MILLISECOND, SECOND};
 use crate::faults::{random_schedule, FaultField};
-use crate::history::{History, ShownState, Sight};
+use crate::history::Sight;
 use crate::network::LinkQuality;
 use crate::operator::{Change, ChangeKind, Operator};
+use crate::report::Report;
 use crate::runner::{Runner, RunnerPlan};
-use crate::workload::{draw, QueuePlan, Workload, WorkloadPlan, HOST};
-use sagetrail_wire::agent::Resources;
+use crate::topology::{capacity, draw_patch, first_configuration, nodes, queues};
+use crate::workload::{draw, Workload, WorkloadPlan, HOST};
 use sagetrail_wire::bounds::Bounds;
 use sagetrail_wire::{NodeId, NodeKind};
-use std::collections::{BTreeMap, BTreeSet};
 
-/// The port of all processes.
-const PORT: u16 = 7_380;
 /// Zones of all machines.
 const ZONES: usize = 4;
 /// Racks have so many runners.
@@ -271,123 +268,3 @@
         report
     }
 }
-
-fn nodes(network: u32, count: usize) -> Vec<NodeId> {
-    (0..count as u32)
-        .map(|index| NodeId { ip: 0x0a00_0000 | network << 8 | (index + 1), port: PORT })
-        .collect()
-}
-
-fn queues() -> Vec<QueuePlan> {
-    vec![
-        QueuePlan { prefix: "/clean/".into(), service: "cleaning".into(), has_gpu: false },
-        QueuePlan { prefix: "/model/".into(), service: "modelling".into(), has_gpu: true },
-    ]
-}
-
-fn capacity(large: bool) -> Resources {
-    match large {
-        true => Resources { cpu: 32_000, mem_mb: 131_072, gpu: 8 },
-        false => Resources { cpu: 16_000, mem_mb: 32_768, gpu: 0 },
-    }
-}
-
-fn first_configuration() -> Configuration {
-    let mut configuration = Configuration { version: 1, ..Configuration::default() };
-    for queue in queues() {
-        configuration.services.insert(queue.service.clone(), false);
-        let name = format!("r-{}", queue.service);
-        configuration.put_route(RouteItem::new(&name, HOST, &queue.prefix, &queue.service));
-    }
-    configuration
-}
-
-fn draw_patch(chance: &mut Chance, number: u64) -> Patch {
-    let extra = chance.between(0, 4);
-    let name = format!("r-extra-{extra}");
-    if chance.happens(0.3) {
-        return Patch { upsert: Vec::new(), remove: vec![name] };
-    }
-    let mut route = RouteItem::new(&name, HOST, &format!("/extra-{extra}/"), "cleaning");
-    route.timeout_ms = 2_000 + number;
-    Patch { upsert: vec![route], remove: Vec::new() }
-}
-
-/// What a day came to.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub violations: Vec<Violation>,
-    pub codec_faults: Vec<String>,
-    pub submitted: usize,
-    pub accepted: usize,
-    pub completed: usize,
-    pub failed: usize,
-    pub cancelled: usize,
-    pub starts: usize,
-    /// From the first send of a job to its first start.
-    pub start_p50_ms: u64,
-    pub start_p99_ms: u64,
-    pub messages: u64,
-    pub message_bytes: u64,
-    pub history: History,
-}
-
-impl Report {
-    fn from_history(history: &History, workload: &Workload) -> Report {
-        let mut report = Report { submitted: workload.plans.len(), ..Report::default() };
-        let mut accepted = BTreeSet::new();
-        let mut shown: BTreeMap<&str, &ShownState> = BTreeMap::new();
-        for seen in &history.seen {
-            match &seen.sight {
-                Sight::SubmitAnswered { job, answer } if answer.is_success() => {
-                    accepted.insert(job.as_str());
-                }
-                Sight::StateRead { job, state, .. } => {
-                    shown.insert(job, state);
-                }
-                Sight::Started(_) => report.starts += 1,
-                _ => (),
-            }
-        }
-        let count = |wanted: &ShownState| shown.values().filter(|state| **state == wanted).count();
-        report.accepted = accepted.len();
-        report.completed = count(&ShownState::Completed);
-        report.failed = count(&ShownState::Failed);
-        report.cancelled = count(&ShownState::Cancelled);
-        let waits = waits(history, workload);
-        report.start_p50_ms = percentile(&waits, 50);
-        report.start_p99_ms = percentile(&waits, 99);
-        report
-    }
-}
-
-/// Waits of jobs without due times for their first start, sorted.
-fn waits(history: &History, workload: &Workload) -> Vec<u64> {
-    let mut sent: BTreeMap<&str, Micros> = BTreeMap::new();
-    let mut waits = Vec::new();
-    for seen in &history.seen {
-        match &seen.sight {
-            Sight::SubmitSent { job } => {
-                let timed = workload.book.jobs.get(job).is_some_and(|job| job.repeat > 0);
-                if !timed {
-                    sent.entry(job).or_insert(seen.at);
-                }
-            }
-            Sight::Started(start) => {
-                let job = start.task.split('.').next().unwrap_or_default();
-                if let Some(at) = sent.get_mut(job).filter(|at| **at != Micros::MAX) {
-                    waits.push((seen.at - *at) / MILLISECOND);
-                    *at = Micros::MAX;
-                }
-            }
-            _ => (),
-        }
-    }
-    waits.sort_unstable();
-    waits
-}
-
-fn percentile(sorted: &[u64], percent: usize) -> u64 {
-    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
-    sorted.get(index).copied().unwrap_or(0)
-}
--- a/crates/cluster-sim/tests/days.rs
+++ b/crates/cluster-sim/tests/days.rs
@@ -1,5 +1,6 @@
 //! Whole days of the real processes.
-use sagetrail_cluster_sim::scenario::{Report, Scenario};
+use sagetrail_cluster_sim::report::Report;
+use sagetrail_cluster_sim::scenario::Scenario;
 
 /// Names how many troubled days are played.
 const SEEDS_VARIABLE: &str = "SAGETRAIL_SIM_SEEDS";
--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -76,7 +76,10 @@
         let now = self.now.steady;
         let effects = &mut self.effects;
         match message {
-            ControlMessage::Prepare(prepare) => self.acceptor.prepare(from, &prepare, effects),
+            ControlMessage::Prepare(prepare) => {
+                self.proposer.note(prepare.ballot);
+                self.acceptor.prepare(from, &prepare, effects);
+            }
             ControlMessage::Accept(accept) => self.acceptor.accept(self.settings.node, from, accept, effects),
             ControlMessage::Read(read) => self.acceptor.read(from, &read, effects),
             ControlMessage::Recover(recover) => self.on_recover(from, &recover),
--- a/crates/control/src/proposer.rs
+++ b/crates/control/src/proposer.rs
@@ -108,6 +108,7 @@
         if position == 0 {
             self.round = None;
             self.accept_sent = false;
+            self.failures = 0;
         }
     }
 
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -82,7 +82,7 @@
     let mut wiped = 0;
     let mut read_back = None;
     for step in 0..STEPS {
-        if seed % 2 == 0 || step % CALM_STEPS == 0 {
+        if seed.is_multiple_of(2) || step.is_multiple_of(CALM_STEPS) {
             trouble(&mut world, count, &mut wiped);
         }
         for _ in 0..10 {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -84,6 +84,8 @@
     body: Vec<u8>,
     /// The steps of each time.
     pub times: Vec<Vec<StepRun>>,
+    /// The times that have fallen due.
+    pub opened: BTreeSet<u32>,
     /// Tasks that are not done.
     pub left: u64,
     /// Whether a task has ever been assigned.
@@ -108,6 +110,7 @@
             spec: Some(Arc::new(spec)),
             body,
             times,
+            opened: BTreeSet::new(),
             left,
             begun: false,
             batch: 0,
@@ -125,6 +128,7 @@
             spec: None,
             body: Vec::new(),
             times: Vec::new(),
+            opened: BTreeSet::new(),
             left: 0,
             begun: true,
             batch: 0,
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -91,10 +91,3 @@
         self.0.first().map(|due| due.at_ms)
     }
 }
-
-impl DueTimes {
-    /// True where the time is still waited for.
-    pub fn contains(&self, due: DueTime) -> bool {
-        self.0.contains(&due)
-    }
-}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -149,8 +149,10 @@
     }
 
     fn open_time(&mut self, id: JobId, time: u32) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        job.steps_of(time).into_iter().for_each(|step| self.refresh_step(step));
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.opened.insert(time);
+        let steps = job.steps_of(time);
+        steps.into_iter().for_each(|step| self.refresh_step(step));
     }
 
     fn open_due_times(&mut self, now: Now) {
@@ -162,19 +164,13 @@
         self.next_due = wait_ms.map(|wait_ms| now.steady.plus_millis(wait_ms));
     }
 
-    /// True where a time of a job has come.
-    fn is_due(&self, job: &Job, time: u32) -> bool {
-        let waits = |spec: &std::sync::Arc<crate::spec::JobSpec>| spec.due_ms(time);
-        let due = job.spec.as_ref().and_then(waits);
-        due.is_none_or(|at_ms| !self.due_times.contains(DueTime { at_ms, job: job.id, time }))
-    }
-
     /// Holds a step or releases it, by what is left to start of it.
     pub(crate) fn refresh_step(&mut self, id: StepId) {
         let Some(job) = self.jobs.get(&id.job) else { return self.queue.release(id) };
         let (Some(stage), Some(step)) = (job.stage(id), job.step(id)) else { return self.queue.release(id) };
         let whole = !stage.gang || step.waiting.len() == step.tasks.len();
-        let turn = !step.waiting.is_empty() && whole && job.dependencies_met(id) && self.is_due(job, id.time);
+        let turn =
+            !step.waiting.is_empty() && whole && job.dependencies_met(id) && job.opened.contains(&id.time);
         if !turn {
             return self.queue.release(id);
         }
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -306,3 +306,19 @@
     let capacity = Resources { cpu: 4000, mem_mb: 8000, gpu: 0 };
     assert_eq!(world.runners[&node(0)].capacity, capacity);
 }
+
+#[test]
+fn after_a_takeover_times_still_wait_until_they_fall_due() {
+    let mut world = World::new(1);
+    let first = DAY_MS + 5_000;
+    let body = format!(
+        r#"{{"stages":[{{"count":1,"cpu":500}}],"repeat":2,"first_run_ms":{first},"interval_ms":2000}}"#
+    );
+    world.submit(A, &body);
+    world.commit();
+    world.take_over(config(2, 2, 1));
+    world.report_all();
+    world.report_all();
+    world.obey_all();
+    assert!(world.running().is_empty());
+}
