--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -134,10 +134,7 @@
     fn refuse(&mut self, error: &HeartbeatError) -> HttpReply {
         self.counters.malformed_heartbeats += 1;
         log::debug!("heartbeat refused: {error}");
-        match error {
-            HeartbeatError::TooLong(_) => bare(413),
-            HeartbeatError::Malformed(_) | HeartbeatError::OverLimit(_) => bare(400),
-        }
+        bare(if matches!(error, HeartbeatError::TooLong(_)) { 413 } else { 400 })
     }
 
     fn accept(&mut self, now: Time, instance: &str, heartbeat: &Heartbeat, changed: bool) -> HttpReply {
--- a/crates/cluster-sim/src/checker/facts.rs
+++ b/crates/cluster-sim/src/checker/facts.rs
@@ -33,6 +33,13 @@
     pub cancelled: Option<Micros>,
 }
 
+/// From when to when a runner was up.
+#[derive(Clone, Copy, Debug)]
+pub struct LifeFact {
+    pub from: Micros,
+    pub until: Micros,
+}
+
 /// Everything that follows from what was seen.
 #[derive(Default)]
 pub struct Facts {
@@ -42,6 +49,7 @@
     pub runs_of_instance: BTreeMap<String, Vec<usize>>,
     pub runners: BTreeMap<String, RunnerFacts>,
     pub submits: BTreeMap<String, SubmitFact>,
+    pub lives: BTreeMap<String, LifeFact>,
     pub drains: BTreeMap<String, Micros>,
     /// Every configuration that was sent and valid.
     pub configurations: Vec<Configuration>,
@@ -73,6 +81,7 @@
                 self.submits.entry(job.clone()).or_default().cancelled.get_or_insert(at);
             }
             Sight::RunnerUp(runner) => {
+                self.lives.insert(runner.instance.clone(), LifeFact { from: at, until: Micros::MAX });
                 self.runners.insert(runner.instance.clone(), runner.clone());
             }
             Sight::RunnerDown { instance } => self.take_down(at, instance),
@@ -131,6 +140,9 @@
     }
 
     fn take_down(&mut self, at: Micros, instance: &str) {
+        if let Some(life) = self.lives.get_mut(instance) {
+            life.until = at;
+        }
         for index in self.runs_of_instance.get(instance).into_iter().flatten() {
             let run = &mut self.runs[*index];
             run.over = run.over.min(at);
--- a/crates/cluster-sim/src/checker/mod.rs
+++ b/crates/cluster-sim/src/checker/mod.rs
@@ -7,6 +7,7 @@
 mod facts;
 mod jobs;
 mod runs;
+mod stalls;
 mod starts;
 
 use crate::engine::Micros;
@@ -53,6 +54,10 @@
     pub bounds: Bounds,
     /// A job is known so long after the acknowledgement.
     pub visible_ms: u64,
+    /// So long after the end of the traffic jobs may not stand still any more.
+    pub finish_ms: u64,
+    /// True where there is room and time enough for each job to be over at the day's end.
+    pub all_must_finish: bool,
 }
 
 /// Collects what was broken.
@@ -79,6 +84,7 @@
     starts::judge(&mut judge);
     cancels::judge(&mut judge);
     jobs::judge(&mut judge);
+    stalls::judge(&mut judge);
     configs::judge(&mut judge);
     let mut violations = judge.violations;
     violations.sort_by(|one, other| one.at.cmp(&other.at).then(one.rule.cmp(&other.rule)));
--- /dev/null
+++ b/crates/cluster-sim/src/checker/stalls.rs
@@ -0,0 +1,142 @@
+//! LOST for standstill: a job has nothing running for a while though a task's turn has come and there is room.
+use super::facts::RunFact;
+use super::jobs::has_failed;
+use super::runs::step_done;
+use super::{Judge, Rule};
+use crate::engine::{Micros, MILLISECOND, SECOND, WALL_START_MS};
+use crate::history::{RunnerFacts, ShownState, Sight};
+use crate::job::{JobDefinition, StepDefinition};
+use sagetrail_wire::agent::Resources;
+use std::collections::BTreeMap;
+
+/// A job that stands still for so long is lost.
+const STANDSTILL: Micros = 3 * SECOND;
+/// Jobs are looked at this often.
+const SAMPLE: Micros = 500 * MILLISECOND;
+
+/// Judges standstill from `finish_ms` after the last job was sent.
+pub fn judge(judge: &mut Judge) {
+    let Some(end) = judge.facts.day_end else { return };
+    let last_sent = judge.facts.submits.values().filter_map(|submit| submit.first_sent).max().unwrap_or(end);
+    let ended = first_final(judge);
+    let mut idle_since: BTreeMap<String, Micros> = BTreeMap::new();
+    let mut at = last_sent + judge.limits.finish_ms * MILLISECOND;
+    while at <= end {
+        for job in open_jobs(judge, at, &ended) {
+            if !stands_still(judge, &job, at) {
+                idle_since.remove(&job.id);
+                continue;
+            }
+            let since = *idle_since.entry(job.id.clone()).or_insert(at);
+            if at == since + STANDSTILL {
+                judge.accuse(Rule::Lost, at, format!("{} stands still though there is room", job.id));
+            }
+        }
+        at += SAMPLE;
+    }
+}
+
+fn first_final(judge: &Judge) -> BTreeMap<String, Micros> {
+    let mut ended = BTreeMap::new();
+    for seen in &judge.history.seen {
+        if let Sight::StateRead { job, state: ShownState::Completed | ShownState::Failed, .. } = &seen.sight {
+            ended.entry(job.clone()).or_insert(seen.at);
+        }
+    }
+    ended
+}
+
+fn open_jobs(judge: &Judge, at: Micros, ended: &BTreeMap<String, Micros>) -> Vec<JobDefinition> {
+    let open = |job: &&JobDefinition| {
+        let accepted = judge.facts.submits.get(&job.id).is_some_and(|submit| {
+            submit.accepted.is_some_and(|accepted| accepted < at) && submit.cancel_sent.is_none()
+        });
+        accepted && ended.get(&job.id).is_none_or(|end| *end > at)
+    };
+    judge.history.jobs.jobs.values().filter(open).cloned().collect()
+}
+
+fn stands_still(judge: &Judge, job: &JobDefinition, at: Micros) -> bool {
+    if !judge.calm.at(at) || is_running(judge, job, at) || has_failed(&judge.facts, job, at) {
+        return false;
+    }
+    let runners = runners_of(judge, job, at);
+    let free: Vec<Room> = runners.iter().map(|runner| room(judge, runner, at)).collect();
+    if !is_half_empty(&runners, &free) {
+        return false;
+    }
+    waiting_steps(judge, job, at).into_iter().any(|step| has_room_twice(step, &free))
+}
+
+fn is_running(judge: &Judge, job: &JobDefinition, at: Micros) -> bool {
+    let mine = |run: &RunFact| run.task.job == job.id && run.started <= at && run.over > at;
+    judge.facts.runs.iter().any(mine)
+}
+
+fn runners_of(judge: &Judge, job: &JobDefinition, at: Micros) -> Vec<RunnerFacts> {
+    let services = judge.facts.services(&job.prefix);
+    let up = |runner: &&RunnerFacts| {
+        let life = judge.facts.lives.get(&runner.instance);
+        let drains = judge.facts.drains.contains_key(&runner.instance);
+        life.is_some_and(|life| life.from <= at && life.until > at)
+            && !drains
+            && services.contains(&runner.service)
+    };
+    judge.facts.runners.values().filter(up).cloned().collect()
+}
+
+/// What is free at a runner with its labels.
+struct Room {
+    free: Resources,
+    labels: Vec<String>,
+}
+
+fn room(judge: &Judge, runner: &RunnerFacts, at: Micros) -> Room {
+    let mut free = runner.capacity;
+    for index in judge.facts.runs_of_instance.get(&runner.instance).into_iter().flatten() {
+        let run = &judge.facts.runs[*index];
+        if run.started <= at && run.over > at {
+            let asked = judge.history.jobs.step_of(&run.task).map(StepDefinition::asked).unwrap_or_default();
+            free.cpu = free.cpu.saturating_sub(asked.cpu);
+            free.mem_mb = free.mem_mb.saturating_sub(asked.mem_mb);
+            free.gpu = free.gpu.saturating_sub(asked.gpu);
+        }
+    }
+    Room { free, labels: runner.labels.clone() }
+}
+
+fn is_half_empty(runners: &[RunnerFacts], free: &[Room]) -> bool {
+    let whole: u64 = runners.iter().map(|runner| runner.capacity.cpu).sum();
+    let left: u64 = free.iter().map(|room| room.free.cpu).sum();
+    left * 2 > whole
+}
+
+fn waiting_steps<'a>(judge: &Judge, job: &'a JobDefinition, at: Micros) -> Vec<&'a StepDefinition> {
+    let wall = WALL_START_MS + (at / MILLISECOND) as i64;
+    let due = |time: &u64| job.repeat == 0 || job.first_run_ms + (time * job.interval_ms) as i64 <= wall;
+    let mut waiting = Vec::new();
+    for time in (0..job.times()).filter(due) {
+        for (number, step) in job.steps.iter().enumerate() {
+            let met = step.depends_on.iter().all(|earlier| step_done(&judge.facts, job, time, *earlier, at));
+            if met && !step_done(&judge.facts, job, time, number, at) {
+                waiting.push(step);
+            }
+        }
+    }
+    waiting
+}
+
+fn has_room_twice(step: &StepDefinition, free: &[Room]) -> bool {
+    let wanted = if step.gang { 2 * step.count } else { 2 };
+    let asked = step.asked();
+    let fitting =
+        free.iter().filter(|room| step.constraints.is_empty() || room.labels.contains(&step.constraints));
+    let places: u64 = fitting.map(|room| places(room.free, asked)).sum();
+    places >= wanted
+}
+
+fn places(free: Resources, asked: Resources) -> u64 {
+    let by = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
+    let most = by(free.cpu, asked.cpu).min(by(free.mem_mb, asked.mem_mb)).min(by(free.gpu, asked.gpu));
+    most.min(u64::from(u16::MAX))
+}
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -89,6 +89,7 @@
             request += 1;
             let index = world.random.random_range(0..count);
             world.client(index, request);
+            (0..count).for_each(|index| world.read(index));
             let pause = world.random.random_range(1..30);
             world.run(pause);
         }
