Room is made for all waiting tasks of a step at once, for priority 0 without patience

Cause: with all runners full of lesser work, urgent tasks got room one task per 100 ms. A test, red before.

--- a/crates/scheduler/src/ledger.rs
+++ b/crates/scheduler/src/ledger.rs
@@ -98,6 +98,11 @@
 }
 
 impl Ledger {
+    /// How many batches are not kept yet.
+    pub fn outstanding(&self) -> u64 {
+        self.current() - self.committed.min(self.current())
+    }
+
     /// The number of the newest batch that holds a change, be it open or taken.
     pub fn current(&self) -> u64 {
         if self.changes.is_empty() {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -17,7 +17,7 @@
 
 /// So many held steps are looked at in a round.
 const STEPS_IN_A_ROUND: usize = 8;
-/// A step waits so long before others make room, in milliseconds.
+/// A step waits so long before others make room, in milliseconds; one of priority 0 does not wait.
 const PATIENCE_MS: u64 = 150;
 /// A run is not stopped in its first moments, in milliseconds: it would be put back and forth.
 const YOUNG_MS: u64 = 500;
@@ -59,7 +59,7 @@
         self.reservations.retain(|_, held| now.steady < held.until && queue.is_held(held.step));
         for key in self.queue.held(service, STEPS_IN_A_ROUND) {
             let reserved = self.reservations.values().any(|reservation| reservation.step == key.step);
-            if !reserved && self.has_waited(now, key.step) {
+            if !reserved && (key.priority == 0 || self.has_waited(now, key.step)) {
                 self.make_room(now, service, key);
             }
         }
@@ -74,9 +74,9 @@
     fn make_room(&mut self, now: Now, service: &str, key: HeldKey) {
         let Some(job) = self.jobs.get(&key.step.job) else { return };
         let (Some(stage), Some(step)) = (job.stage(key.step).cloned(), job.step(key.step)) else { return };
-        let wanted = if stage.gang { step.waiting.len() as u32 } else { 1 };
+        let wanted = step.waiting.len() as u32;
         let offers = self.offers(now, service, key, &stage);
-        let chosen = if stage.gang { whole_gang(offers, &stage, wanted) } else { single_seat(offers) };
+        let chosen = if stage.gang { whole_gang(offers, &stage, wanted) } else { offers };
         let until = now.steady.plus_millis(self.settings.bounds.stop_ms + RESERVATION_MARGIN_MS);
         let reservation = Reservation { step: key.step, priority: key.priority, until };
         let mut left = wanted;
@@ -161,11 +161,6 @@
     room.gpu += more.gpu;
 }
 
-/// The cheapest runner for one task.
-fn single_seat(offers: Vec<Offer>) -> Vec<Offer> {
-    offers.into_iter().take(1).collect()
-}
-
 /// Runners for all tasks of a gang, of one rack where it asks for that; none where they do not suffice.
 fn whole_gang(offers: Vec<Offer>, stage: &Stage, wanted: u32) -> Vec<Offer> {
     let mut racks: BTreeMap<String, Vec<Offer>> = BTreeMap::new();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -63,6 +63,7 @@
     next_timer: Time,
     next_purge: Time,
     pub(crate) surveyed_at: Time,
+    pub(crate) status_at: Time,
     /// When the next time of a job falls due.
     next_due: Option<Time>,
 }
@@ -91,6 +92,7 @@
             next_timer: now.steady.plus_millis(TIMER_MS),
             next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
             surveyed_at: now.steady,
+            status_at: now.steady,
             next_due: None,
         };
         scheduler.restore(now, &restored.records);
@@ -420,6 +422,7 @@
             self.queue.services().iter().for_each(|service| self.preempt(now, service));
             self.purge(now);
             self.survey(now);
+            self.status(now);
             self.place_again = true;
         }
         self.settle(now);
--- a/crates/scheduler/src/survey.rs
+++ b/crates/scheduler/src/survey.rs
@@ -5,10 +5,44 @@
 
 /// A step held for so long is worth a line, in milliseconds.
 const LONG_MS: u64 = 4_000;
-/// Lines keep this distance, in milliseconds.
+/// Lines on long waits keep this distance, in milliseconds.
 const SURVEY_INTERVAL_MS: u64 = 5_000;
+/// Lines on the state of all keep this distance, in milliseconds; only at the level of debugging.
+const STATUS_INTERVAL_MS: u64 = 500;
 
 impl Scheduler {
+    /// Logs how many steps are held, how many runs are assigned, and which runners are kept out.
+    pub(crate) fn status(&mut self, now: Now) {
+        let wanted = log::log_enabled!(log::Level::Debug);
+        if !wanted || now.steady.millis_since(self.status_at) < STATUS_INTERVAL_MS {
+            return;
+        }
+        self.status_at = now.steady;
+        for service in self.queue.services() {
+            let held = self.queue.held(&service, usize::MAX);
+            let waits = |priority: u32| {
+                let of = held.iter().filter(|key| key.priority == priority);
+                let steps =
+                    of.filter_map(|key| self.jobs.get(&key.step.job).and_then(|job| job.step(key.step)));
+                steps.map(|step| step.waiting.len()).sum::<usize>()
+            };
+            let out: Vec<String> = self
+                .runners
+                .values()
+                .filter(|runner| runner.service == service)
+                .map(|runner| describe(now, runner))
+                .collect();
+            log::debug!(
+                "{service}: tasks held {}/{}/{}; {} batches open; {}",
+                waits(0),
+                waits(1),
+                waits(2),
+                self.ledger.outstanding(),
+                out.join("; ")
+            );
+        }
+    }
+
     /// Logs the state of a service's runners where a step of it has been held for long.
     pub(crate) fn survey(&mut self, now: Now) {
         if now.steady.millis_since(self.surveyed_at) < SURVEY_INTERVAL_MS {
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -322,3 +322,20 @@
     world.obey_all();
     assert!(world.running().is_empty());
 }
+
+#[test]
+fn room_is_made_for_all_urgent_tasks_at_once() {
+    let mut world = World::new(2);
+    world.submit(A, r#"{"stages":[{"count":8,"cpu":1000,"checkpoints":true}]}"#);
+    world.commit();
+    world.obey_all();
+    world.pass_ms(600);
+    world.report_all();
+    let urgent = format!("/urgent/{B}");
+    world.request(ClientMethod::Submit, &urgent, r#"{"stages":[{"count":6,"cpu":1000}]}"#);
+    world.commit();
+    world.pass_ms(100);
+    world.commit();
+    let stops: usize = world.orders.values().map(|orders| orders.stop.len()).sum();
+    assert_eq!(stops, 6);
+}
