Room is kept for urgent work; a suspect runner is tried again however its trial ended

Cause 1: lesser work filled all runners, and urgent tasks waited for stops. Lesser work now leaves what urgent work lately needed at once.

--- a/crates/cluster-sim/src/scenario.rs
+++ b/crates/cluster-sim/src/scenario.rs
@@ -48,6 +48,10 @@
     pub poison: f64,
     /// The share of jobs that last until they are cancelled.
     pub long_running: f64,
+    /// The share of jobs with due times.
+    pub repeated: f64,
+    /// The share of gangs where runners have graphics processors.
+    pub gangs: f64,
     /// True where there is room enough for all jobs.
     pub all_must_finish: bool,
     /// The share of jobs that are cancelled.
@@ -78,6 +82,8 @@
             failing: 0.03,
             poison: 0.02,
             long_running: 0.05,
+            repeated: 0.1,
+            gangs: 0.25,
             all_must_finish: true,
             cancelled: 0.1,
             random_faults: false,
@@ -173,9 +179,9 @@
             from: LEAD,
             until: self.traffic_end(),
             jobs: self.jobs,
-            gangs: 0.25,
+            gangs: self.gangs,
             long_running: self.long_running,
-            repeated: 0.1,
+            repeated: self.repeated,
             cancelled: self.cancelled,
             poison: self.poison,
             failing: self.failing,
--- a/crates/cluster-sim/tests/days.rs
+++ b/crates/cluster-sim/tests/days.rs
@@ -1,4 +1,7 @@
 //! Whole days of the real processes.
+use sagetrail_cluster_sim::cluster::PlannedFault;
+use sagetrail_cluster_sim::engine::{MILLISECOND, SECOND};
+use sagetrail_cluster_sim::faults::Fault;
 use sagetrail_cluster_sim::report::Report;
 use sagetrail_cluster_sim::scenario::Scenario;
 
@@ -39,3 +42,24 @@
         assert_keeps_all(seed, &Scenario::troubled(seed).run());
     }
 }
+
+#[test]
+fn due_times_survive_the_restart_of_the_whole_core() {
+    let scenario = Scenario { repeated: 0.8, long_running: 0.0, cancelled: 0.0, ..Scenario::calm(5) };
+    let nodes = scenario.core_nodes();
+    let kill = |second: u64| {
+        let fault = Fault::KillMany { nodes: nodes.clone(), back_after: 400 * MILLISECOND };
+        PlannedFault { at: second * SECOND, fault }
+    };
+    let scenario = Scenario { faults: [18, 26, 34].into_iter().map(kill).collect(), ..scenario };
+    assert_keeps_all(5, &scenario.run());
+}
+
+#[test]
+fn a_runner_under_suspicion_gets_starts_again_after_a_gang_tried_it() {
+    for seed in 1..=6 {
+        let scenario =
+            Scenario { poison: 0.15, gangs: 0.6, long_running: 0.0, jobs: 80, ..Scenario::calm(seed) };
+        assert_keeps_all(seed, &scenario.run());
+    }
+}
--- a/crates/scheduler/benches/placement.rs
+++ b/crates/scheduler/benches/placement.rs
@@ -31,6 +31,7 @@
         resources: Resources { cpu: 240, mem_mb: 250, gpu: 0 },
         waiting: TASKS_OF_A_STEP,
         gang: false,
+        lasting: false,
         rack_local: false,
         held_ms: 0,
         affinity: if number.is_multiple_of(2) { format!("r1-{}", number % 4) } else { String::new() },
@@ -49,7 +50,7 @@
         criterion.bench_function(&format!("a pass at {count} runners"), |bencher| {
             let mut random = Pcg64Mcg::seed_from_u64(1);
             let input = || (runners(count), held());
-            let run = |(runners, held)| Pass::new(runners, held, &mut random).run();
+            let run = |(runners, held)| Pass::new(runners, held, Resources::default(), &mut random).run();
             bencher.iter_batched(input, run, BatchSize::LargeInput);
         });
     }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -20,6 +20,7 @@
     pub(crate) fn run_over(&mut self, now: Now, over: OverRun) {
         let Some(runner) = self.runners.get_mut(&over.node) else { return };
         let Some(assignment) = runner.assigned.remove(&over.task) else { return };
+        runner.health.trial_over();
         self.changed.insert(over.node);
         self.place_again = true;
         let job = self.jobs.get_mut(&over.task.step.job).filter(|job| job.outcome == Outcome::Active);
@@ -49,7 +50,7 @@
                     return;
                 }
             }
-            _ => self.tell_nothing(over.node),
+            _ => {}
         }
         self.wait_again(now, over.task);
     }
@@ -66,12 +67,6 @@
         }
     }
 
-    fn tell_nothing(&mut self, node: NodeId) {
-        if let Some(runner) = self.runners.get_mut(&node) {
-            runner.health.trial_over();
-        }
-    }
-
     fn task_done(&mut self, now: Now, id: TaskId) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let gang = job.stage(id.step).is_some_and(|stage| stage.gang);
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -50,7 +50,7 @@
         self.on_trial = !self.is_well();
     }
 
-    /// A trial ended in a way that tells nothing.
+    /// A run is over, however it ended: another may be tried.
     pub fn trial_over(&mut self) {
         self.on_trial = false;
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod clock;
 mod ends;
+mod headroom;
 mod health;
 mod ids;
 mod job;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -4,6 +4,7 @@
 //! its mean cost over the runners with room; the largest P = 1 − e^(−mean/cost) wins, ties go to the longest held.
 //! Below `P_MIN`, or on losing the coin, the runner is skipped for another. What is skipped by all in one pass
 //! takes its cheapest runner with room. Priorities go before all this; gangs are placed whole.
+use crate::headroom::URGENT;
 use crate::ids::StepId;
 use crate::preempt::Reservation;
 use rand::seq::SliceRandom;
@@ -52,6 +53,8 @@
     pub waiting: u32,
     /// All of them start together, or none.
     pub gang: bool,
+    /// The tasks go on until the job is cancelled.
+    pub lasting: bool,
     pub rack_local: bool,
     /// Since when it is held, in milliseconds.
     pub held_ms: u64,
@@ -79,6 +82,13 @@
     wanted.cpu <= room.cpu && wanted.mem_mb <= room.mem_mb && wanted.gpu <= room.gpu
 }
 
+/// Adds to room.
+pub fn add(room: &mut Resources, more: Resources) {
+    room.cpu = room.cpu.saturating_add(more.cpu);
+    room.mem_mb = room.mem_mb.saturating_add(more.mem_mb);
+    room.gpu = room.gpu.saturating_add(more.gpu);
+}
+
 fn take(room: &mut Resources, wanted: Resources) {
     room.cpu -= wanted.cpu;
     room.mem_mb -= wanted.mem_mb;
@@ -98,6 +108,10 @@
 pub struct Pass<'a, R: Rng> {
     runners: Vec<OpenRunner>,
     held: Vec<HeldStep>,
+    /// Room that work which is not urgent leaves free, over all runners.
+    kept: Resources,
+    /// Room of all runners together.
+    free: Resources,
     /// The mean cost of each held step over the runners with room, as the pass began.
     mean_costs: Vec<f64>,
     random: &'a mut R,
@@ -105,10 +119,14 @@
 }
 
 impl<'a, R: Rng> Pass<'a, R> {
-    /// A pass over these.
-    pub fn new(mut runners: Vec<OpenRunner>, held: Vec<HeldStep>, random: &'a mut R) -> Pass<'a, R> {
+    /// A pass over these; work that is not urgent leaves so much room free.
+    pub fn new(
+        mut runners: Vec<OpenRunner>, held: Vec<HeldStep>, kept: Resources, random: &'a mut R,
+    ) -> Pass<'a, R> {
         runners.shuffle(random);
-        let mut pass = Pass { runners, held, mean_costs: Vec::new(), random, placed: Vec::new() };
+        let mut free = Resources::default();
+        runners.iter().for_each(|runner| add(&mut free, runner.room));
+        let mut pass = Pass { runners, held, kept, free, mean_costs: Vec::new(), random, placed: Vec::new() };
         pass.mean_costs = (0..pass.held.len()).map(|h| pass.mean_cost(h)).collect();
         pass
     }
@@ -184,6 +202,7 @@
         let avoiding = held.avoiding.get(&runner.node).copied().unwrap_or(0);
         let kept = runner.reserved.is_some_and(|r| r.step != held.id && r.priority <= held.priority);
         held.waiting > avoiding
+            && self.leaves_enough(held)
             && !kept
             && runner.starts > 0
             && fits(held.resources, runner.room)
@@ -191,6 +210,13 @@
             && held.constraints.all_in(&runner.labels)
     }
 
+    /// True where the room kept for urgent work stays free. Lasting work takes of it: it would wait for ever.
+    fn leaves_enough(&self, held: &HeldStep) -> bool {
+        let mut needed = self.kept;
+        add(&mut needed, held.resources);
+        held.priority == URGENT || held.lasting || fits(needed, self.free)
+    }
+
     fn carries_less(&self, h: usize, r: usize) -> bool {
         let held = &self.held[h];
         let carried = held.carried.get(&self.runners[r].node).copied().unwrap_or(0);
@@ -201,6 +227,7 @@
         let held = &mut self.held[h];
         let runner = &mut self.runners[r];
         take(&mut runner.room, held.resources);
+        take(&mut self.free, held.resources);
         runner.starts -= 1;
         held.waiting -= 1;
         *held.carried.entry(runner.node).or_default() += 1;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -4,7 +4,7 @@
 //! save their progress at a stop. Nothing is stopped unless what then fits can start whole. The room is reserved
 //! until the step has started, or the reservation's end.
 use crate::ids::{StepId, TaskId};
-use crate::placement::{fits, times_fitting};
+use crate::placement::{add, fits, times_fitting};
 use crate::queue::HeldKey;
 use crate::record::Outcome;
 use crate::runner::Runner;
@@ -155,12 +155,6 @@
     }
 }
 
-fn add(room: &mut Resources, more: Resources) {
-    room.cpu += more.cpu;
-    room.mem_mb += more.mem_mb;
-    room.gpu += more.gpu;
-}
-
 /// Runners for all tasks of a gang, of one rack where it asks for that; none where they do not suffice.
 fn whole_gang(offers: Vec<Offer>, stage: &Stage, wanted: u32) -> Vec<Offer> {
     let mut racks: BTreeMap<String, Vec<Offer>> = BTreeMap::new();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! The service that runs on the elected core process: ties jobs, runners, queue and ledger together.
 use crate::clock::SteadyDay;
+use crate::headroom::Headroom;
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
 use crate::ledger::Ledger;
@@ -58,6 +59,7 @@
     uncommitted: BTreeMap<u64, BTreeSet<NodeId>>,
     /// Room that is kept for a step.
     pub(crate) reservations: BTreeMap<NodeId, Reservation>,
+    pub(crate) headroom: Headroom,
     /// Room or held steps have changed since the last pass.
     pub(crate) place_again: bool,
     next_timer: Time,
@@ -88,6 +90,7 @@
             changed: BTreeSet::new(),
             uncommitted: BTreeMap::new(),
             reservations: BTreeMap::new(),
+            headroom: Headroom::default(),
             place_again: true,
             next_timer: now.steady.plus_millis(TIMER_MS),
             next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
@@ -184,6 +187,7 @@
     /// One pass of the placement for each service with held steps.
     fn place(&mut self, now: Now) {
         self.place_again = false;
+        self.keep_headroom(now);
         for service in self.queue.services() {
             let runners = self.open_runners(now, &service);
             if runners.is_empty() {
@@ -192,7 +196,8 @@
             let keys = self.queue.held(&service, HELD_IN_A_PASS);
             let held: Vec<HeldStep> = keys.into_iter().filter_map(|key| self.held_step(now, key)).collect();
             let held = held.into_iter().filter(|held| runners.iter().any(|r| fits(held.resources, r.room)));
-            let placements = Pass::new(runners.clone(), held.collect(), &mut self.random).run();
+            let kept = self.headroom.kept(&service);
+            let placements = Pass::new(runners.clone(), held.collect(), kept, &mut self.random).run();
             self.assign_all(now, &placements);
         }
     }
@@ -232,6 +237,7 @@
             resources: stage.resources(),
             waiting: step.waiting.len() as u32,
             gang: stage.gang,
+            lasting: stage.long_running,
             rack_local: stage.rack_local,
             held_ms,
             affinity: stage.affinity.clone(),
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -339,3 +339,19 @@
     let stops: usize = world.orders.values().map(|orders| orders.stop.len()).sum();
     assert_eq!(stops, 6);
 }
+
+#[test]
+fn lesser_work_leaves_the_room_that_urgent_work_lately_needed() {
+    let mut world = World::new(2);
+    let urgent = format!("/urgent/{B}");
+    world.request(ClientMethod::Submit, &urgent, r#"{"stages":[{"count":2,"cpu":1000}]}"#);
+    world.commit();
+    world.obey_all();
+    world.pass_ms(100);
+    world.end_all(RunEnd::Done);
+    world.pass_ms(100);
+    world.submit(A, r#"{"stages":[{"count":8,"cpu":1000}]}"#);
+    world.commit();
+    world.obey_all();
+    assert_eq!(world.running().len(), 6);
+}
