A restarted process gives up its former term in public, and a new scheduler calls the agents

Cause: after the whole core lost power every replica waited out a lease that nobody could hold any more (0.9 s and a jitter), then agents had to find the new scheduler. Test red before: after_a_loss_of_all_power_nobody_waits_for_a_lease_that_cannot_be_running.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod reader;
 mod records;
 mod recovery;
+mod renounce;
 mod replica;
 mod settings;
 mod snapshot;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,6 +11,7 @@
 use crate::proposer::Proposer;
 use crate::reader::Reader;
 use crate::records::Records;
+use crate::renounce::Renouncing;
 use crate::replica::Replica;
 use crate::settings::CoreSettings;
 use crate::standing::Standing;
@@ -59,6 +60,8 @@
     pub(crate) replica: Replica,
     pub(crate) elections: Elections,
     pub(crate) term: Option<Term>,
+    /// The term of this process's former life, while it says that it holds it no more.
+    pub(crate) renouncing: Option<Renouncing>,
     pub(crate) joiners: Joiners,
     pub(crate) subscribers: Subscribers,
     pub(crate) delayed: VecDeque<Delayed>,
@@ -94,6 +97,7 @@
             replica: Replica::new(node, now.steady, ReplicaState::default(), records),
             elections: Elections::new(node, settings.incarnation, random.random()),
             term: None,
+            renouncing: None,
             joiners: Joiners::default(),
             subscribers: Subscribers::default(),
             delayed: VecDeque::new(),
@@ -127,6 +131,7 @@
         self.knowledge.adopt_list(state.members.version, &state.members.members);
         self.standing.ready = true;
         self.begin_to_tell();
+        self.begin_to_renounce();
     }
 
     fn begin_empty(&mut self, now: Time) {
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -19,6 +19,7 @@
         self.step_standing(now);
         self.step_register(now);
         self.replica.tick(now, &mut self.effects);
+        self.step_renouncing(now);
         self.step_elections(now);
         self.step_term();
         self.step_membership(now);
@@ -42,6 +43,7 @@
             self.operator.next_wake(&self.proposer),
             self.replica.next_wake(),
             elections,
+            self.renouncing_wake(),
             term,
             service,
             membership,
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -53,3 +53,7 @@
 pub const TERMINATE_QUIET_MS: u64 = 50;
 /// An order that surely was accepted nowhere is given back after so long.
 pub const UNTOUCHED_MS: u64 = 1_000;
+/// A process that came back says for so long that it holds its former term no more.
+pub const RENOUNCE_MS: u64 = 2_000;
+/// And this often.
+pub const RENOUNCE_INTERVAL_MS: u64 = 100;
--- a/crates/control/tests/trouble.rs
+++ b/crates/control/tests/trouble.rs
@@ -156,3 +156,17 @@
     assert_eq!(world.replace(0, 5, 9), 200);
     assert_eq!(world.read_back(1), Some(9));
 }
+
+#[test]
+fn after_a_loss_of_all_power_nobody_waits_for_a_lease_that_cannot_be_running() {
+    let mut world = busy(5, 11);
+    let terms = world.terms();
+    (0..5).for_each(|index| world.power_off(index));
+    world.run(500);
+    (0..5).for_each(|index| world.start(index, false));
+    world.run(450);
+    assert!(world.owner().is_some());
+    assert_eq!(world.terms(), terms + 1);
+    feed(&mut world, 1_000..1_050);
+    assert_eq!(world.acked(), 250);
+}
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -4,7 +4,7 @@
 use crate::scheduler::Scheduler;
 use sagetrail_wire::agent::{RunnerOrders, RunnerReport, StartOrder, StopOrder, AGENT_LEASE_MS};
 use sagetrail_wire::node::Now;
-use sagetrail_wire::{Message, NodeId};
+use sagetrail_wire::{List, Message, NodeId};
 
 /// A runner with work sends its next heartbeat after so long, in milliseconds.
 const BUSY_RETRY_MS: u64 = 60;
@@ -81,6 +81,26 @@
         self.ledger.send(node, Message::RunnerOrders(orders));
     }
 
+    /// At the start of a term: tells every agent that may have runs who schedules now, and withdraws all starts
+    /// of earlier terms.
+    pub(crate) fn announce_term(&mut self) {
+        for (&node, runner) in &self.runners {
+            let orders = RunnerOrders {
+                epoch: self.epoch,
+                revision: 0,
+                agent: 0,
+                sent_at: 0,
+                lease_ms: 0,
+                instance: runner.instance.as_str().into(),
+                start: List::default(),
+                stop: List::default(),
+                observed: 0,
+                retry_after_ms: BUSY_RETRY_MS,
+            };
+            self.ledger.send(node, Message::RunnerOrders(orders));
+        }
+    }
+
     fn start_order(&self, task: TaskId, attempt: u64) -> Option<StartOrder> {
         let job = self.jobs.get(&task.step.job)?;
         let spec = job.spec.as_ref()?;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -103,6 +103,7 @@
             scheduler.adopt_config(&config);
         }
         scheduler.hold_all(now);
+        scheduler.announce_term();
         scheduler
     }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -210,3 +210,13 @@
         assert_eq!(world.running().len(), 1);
     }
 }
+
+#[test]
+fn a_new_scheduler_tells_agents_with_runs_at_once() {
+    let mut world = one_running();
+    let at = world.running()[0].0;
+    world.take_over(config(1, 2, 1));
+    world.take_sends();
+    assert_eq!(world.orders[&at].epoch, 2);
+    assert!(world.orders[&at].start.is_empty());
+}
