P-min 0.63: data is gone to while a runner near it has room; busy runners beat each 25 ms

Cause: with P-min 0.4 a far runner visited first won the coin although a near one had room (a tenth of all runs away from their data, 1.5 times as long), and each step waited up to 60 ms for a heartbeat.

--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -7,9 +7,9 @@
 use sagetrail_wire::{List, Message, NodeId};
 
 /// A runner with work sends its next heartbeat after so long, in milliseconds.
-const BUSY_RETRY_MS: u64 = 60;
+const BUSY_RETRY_MS: u64 = 25;
 /// A runner without work sends its next heartbeat after so long, in milliseconds.
-const IDLE_RETRY_MS: u64 = 150;
+const IDLE_RETRY_MS: u64 = 60;
 
 impl Scheduler {
     /// Orders to all runners whose orders have changed.
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -15,8 +15,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Below this chance a runner is skipped.
-pub const P_MIN: f64 = 0.4;
+/// Below this chance a runner is skipped. Just under 1 − 1/e: a runner away from the data is passed over while any
+/// near it has room (P = 1 − e^(−far share) < P_MIN), and takes its chance where none has.
+pub const P_MIN: f64 = 0.63;
 /// The cost of a task away from its data; near it the cost is zero.
 const FAR_COST: f64 = 1.0;
 /// The mean cost is taken over so many of the runners with room, at random.
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -355,3 +355,17 @@
     world.obey_all();
     assert_eq!(world.running().len(), 6);
 }
+
+#[test]
+fn data_is_gone_to_while_a_runner_near_it_has_room() {
+    let mut world = World::new(8);
+    for number in 0..8u64 {
+        let body = r#"{"stages":[{"count":1,"cpu":500,"affinity":"r1-1"}]}"#;
+        world.submit(&format!("{number:016x}"), body);
+    }
+    world.commit();
+    world.obey_all();
+    let near = [node(2), node(3)];
+    assert_eq!(world.running().len(), 8);
+    assert!(world.running().iter().all(|(at, _, _)| near.contains(at)));
+}
