Within a priority what can still be in time goes first, what can earn nothing last

Cause: after an outage the oldest, already late jobs were served first, so that those behind them became late too.

--- a/crates/scheduler/src/clients.rs
+++ b/crates/scheduler/src/clients.rs
@@ -20,6 +20,8 @@
     service: String,
     max_attempts: u32,
     priority: u32,
+    extension: f64,
+    target_ms: f64,
     /// What follows the prefix.
     rest: String,
 }
@@ -59,6 +61,8 @@
             service: found.route.service.clone(),
             max_attempts: found.route.max_attempts.max(1),
             priority: found.route.priority,
+            extension: found.route.extension,
+            target_ms: found.route.target_latency_ms,
             rest: found.rest.to_owned(),
         });
         let Some(target) = target else {
@@ -104,6 +108,9 @@
             max_attempts: target.max_attempts,
             priority: target.priority,
             order: self.next_order,
+            taken_ms: self.day.millis(now),
+            extension: target.extension,
+            target_ms: target.target_ms,
         };
         self.next_order += 1;
         self.jobs.insert(id, Job::new(id, terms, spec, request.body.0, now.steady));
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -71,6 +71,12 @@
     pub priority: u32,
     /// Rises with each job taken.
     pub order: u64,
+    /// When it was taken, in milliseconds since 1970.
+    pub taken_ms: i64,
+    /// The queue's latency objective is so many times the job's longest chain of work,
+    pub extension: f64,
+    /// and so many milliseconds more.
+    pub target_ms: f64,
 }
 
 /// A job.
@@ -146,6 +152,7 @@
             max_attempts: self.terms.max_attempts,
             priority: self.terms.priority,
             order: self.terms.order,
+            taken_ms: self.terms.taken_ms,
             body: Blob(self.body.clone()),
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod ids;
 mod job;
 mod ledger;
+mod objective;
 mod orders;
 pub mod placement;
 pub mod preempt;
--- /dev/null
+++ b/crates/scheduler/src/objective.rs
@@ -0,0 +1,67 @@
+//! When a job is to have ended, and whether it still can.
+//!
+//! A queue's objective is `extension` times the job's longest chain of work, plus `target_latency_ms`; up to three
+//! times that a job still earns a part. Chains are reckoned from the steps' estimates.
+use crate::ids::StepId;
+use crate::job::Job;
+use crate::spec::JobSpec;
+
+/// The extension of a queue that says none.
+pub const DEFAULT_EXTENSION: f64 = 2.0;
+/// The target of a queue that says none, in milliseconds.
+pub const DEFAULT_TARGET_MS: f64 = 1_500.0;
+/// Beyond so many times its objective a job earns nothing.
+const LATE_FACTOR: f64 = 3.0;
+
+/// What a job can still earn.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Hope {
+    /// It can end within its objective.
+    InTime,
+    /// It can end within three times its objective.
+    Late,
+    /// It can earn nothing.
+    None,
+}
+
+/// A step's standing against its job's objective.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    pub hope: Hope,
+    /// When the job, or this time of it, is to have ended, in milliseconds since 1970.
+    pub due_ms: i64,
+}
+
+impl Objective {
+    /// The standing of a step at a time of day in milliseconds since 1970.
+    pub fn of(job: &Job, id: StepId, day_ms: i64) -> Objective {
+        let Some(spec) = &job.spec else { return Objective { hope: Hope::None, due_ms: day_ms } };
+        let begins_ms = spec.due_ms(id.time).unwrap_or(job.terms.taken_ms).max(job.terms.taken_ms);
+        let chains = chains_ms(spec);
+        let longest_ms = chains.iter().copied().fold(0.0, f64::max);
+        let objective_ms = job.terms.extension * longest_ms + job.terms.target_ms;
+        let due_ms = begins_ms + objective_ms as i64;
+        let lasting = job.stage(id).is_some_and(|stage| stage.long_running);
+        let ends_ms = day_ms + chains.get(id.step as usize).copied().unwrap_or(0.0) as i64;
+        let hope = if lasting || ends_ms <= due_ms {
+            Hope::InTime
+        } else if ends_ms <= begins_ms + (LATE_FACTOR * objective_ms) as i64 {
+            Hope::Late
+        } else {
+            Hope::None
+        };
+        Objective { hope, due_ms }
+    }
+}
+
+/// For each step, the longest chain of work from its start to the job's end, in milliseconds.
+fn chains_ms(spec: &JobSpec) -> Vec<f64> {
+    let mut chains: Vec<f64> = spec.stages.iter().map(|stage| stage.estimate_ms).collect();
+    for step in (0..spec.stages.len()).rev() {
+        for &on in &spec.stages[step].depends_on {
+            let through = spec.stages[on as usize].estimate_ms + chains[step];
+            chains[on as usize] = chains[on as usize].max(through);
+        }
+    }
+    chains
+}
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -1,5 +1,6 @@
 //! Steps with tasks whose turn has come, by priority and age, and times that are not due yet.
 use crate::ids::{JobId, StepId};
+use crate::objective::Hope;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Where a held step stands in its service's queue.
@@ -7,6 +8,10 @@
 pub struct HeldKey {
     /// 0 comes first.
     pub priority: u32,
+    /// Within a priority, what can still be in time goes first, what can earn nothing last.
+    pub hope: Hope,
+    /// When the job is to have ended, in milliseconds since 1970.
+    pub due_ms: i64,
     pub order: u64,
     pub step: StepId,
 }
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -31,6 +31,8 @@
     pub priority: u32,
     /// Rises with each job taken.
     pub order: u64,
+    /// When it was taken, in milliseconds since 1970.
+    pub taken_ms: i64,
     /// As handed in; empty once the job has ended.
     pub body: Blob,
 }
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -1,6 +1,7 @@
 //! The state of earlier terms from the records.
 use crate::ids::{JobId, TaskId};
 use crate::job::{Job, JobTerms};
+use crate::objective::{DEFAULT_EXTENSION, DEFAULT_TARGET_MS};
 use crate::record::{JobRecord, Key, Outcome, TaskRecord};
 use crate::runner::{Assignment, Runner};
 use crate::scheduler::Scheduler;
@@ -31,6 +32,9 @@
             max_attempts: record.max_attempts,
             priority: record.priority,
             order: record.order,
+            taken_ms: record.taken_ms,
+            extension: DEFAULT_EXTENSION,
+            target_ms: DEFAULT_TARGET_MS,
         };
         self.next_order = self.next_order.max(terms.order + 1);
         if record.outcome != Outcome::Active {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
 use crate::ledger::Ledger;
+use crate::objective::Objective;
 use crate::placement::{fits, HeldStep, OpenRunner, Pass, Placement};
 use crate::preempt::Reservation;
 use crate::queue::{DueTime, DueTimes, HeldKey, HeldQueue};
@@ -43,6 +44,8 @@
     pub(crate) epoch: Epoch,
     pub(crate) started_at: Time,
     pub(crate) day: SteadyDay,
+    /// The time of day at the newest event, in milliseconds since 1970.
+    pub(crate) day_ms: i64,
     pub(crate) random: Pcg64Mcg,
     pub(crate) config: Option<ConfigDocument>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
@@ -78,6 +81,7 @@
             epoch: restored.epoch,
             started_at: now.steady,
             day: SteadyDay::new(now),
+            day_ms: now.wall_ms,
             random: Pcg64Mcg::seed_from_u64(restored.seed),
             config: None,
             jobs: BTreeMap::new(),
@@ -131,6 +135,8 @@
         job.terms.service = route.service.clone();
         job.terms.max_attempts = route.max_attempts.max(1);
         job.terms.priority = route.priority;
+        job.terms.extension = route.extension;
+        job.terms.target_ms = route.target_latency_ms;
         let steps: Vec<StepId> = (0..job.times.len() as u32).flat_map(|time| job.steps_of(time)).collect();
         steps.into_iter().for_each(|step| self.refresh_step(step));
     }
@@ -163,6 +169,7 @@
 
     fn open_due_times(&mut self, now: Now) {
         let day_ms = self.day.millis(now);
+        self.day_ms = day_ms;
         while let Some(due) = self.due_times.take_due(day_ms) {
             self.open_time(due.job, due.time);
         }
@@ -180,11 +187,27 @@
         if !turn {
             return self.queue.release(id);
         }
-        let key = HeldKey { priority: job.terms.priority, order: job.terms.order, step: id };
+        let objective = Objective::of(job, id, self.day_ms);
+        let key = HeldKey {
+            priority: job.terms.priority,
+            hope: objective.hope,
+            due_ms: objective.due_ms,
+            order: job.terms.order,
+            step: id,
+        };
         self.queue.hold(&job.terms.service, key);
         self.place_again = true;
     }
 
+    /// Held steps move as their time runs out.
+    fn weigh_anew(&mut self) {
+        for service in self.queue.services() {
+            for key in self.queue.held(&service, HELD_IN_A_PASS) {
+                self.refresh_step(key.step);
+            }
+        }
+    }
+
     /// One pass of the placement for each service with held steps.
     fn place(&mut self, now: Now) {
         self.place_again = false;
@@ -425,6 +448,7 @@
             self.next_timer = now.steady.plus_millis(if idle { IDLE_TIMER_MS } else { TIMER_MS });
             self.give_up_unreachable(now);
             self.watch_runs(now);
+            self.weigh_anew();
             self.place(now);
             self.queue.services().iter().for_each(|service| self.preempt(now, service));
             self.purge(now);
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -369,3 +369,24 @@
     assert_eq!(world.running().len(), 8);
     assert!(world.running().iter().all(|(at, _, _)| near.contains(at)));
 }
+
+#[test]
+fn what_can_still_be_in_time_goes_before_what_is_late() {
+    let mut world = World::new(1);
+    let body = r#"{"stages":[{"count":4,"cpu":1000,"estimate_ms":1000}]}"#;
+    world.submit("0000000000000001", body);
+    world.commit();
+    world.obey_all();
+    world.submit(A, body);
+    world.commit();
+    for _ in 0..50 {
+        world.pass_ms(100);
+        world.report_all();
+    }
+    world.submit(B, body);
+    world.commit();
+    world.pass_ms(100);
+    world.end_all(RunEnd::Done);
+    world.obey_all();
+    assert!(world.running().iter().all(|(_, task, _)| task.starts_with(B)), "{:?}", world.running());
+}
