--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -79,6 +79,7 @@
         let Some(runner) = self.runners.get_mut(&from) else { return };
         runner.assigned.values_mut().for_each(|assignment| assignment.active = false);
         runner.unknown.clear();
+        let mut progressed = Vec::new();
         let listed = if report.lapsed { &[][..] } else { &report.active[..] };
         for run in listed {
             let id = TaskId::parse(&run.task);
@@ -95,13 +96,21 @@
                 None => runner.unknown.push(StopOrder { task: run.task.clone(), attempt: run.attempt }),
             }
             let task = id.and_then(|id| self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)));
-            if let Some(task) = task.filter(|task| !run.saved.is_empty() && task.attempt == run.attempt) {
-                task.saved = run.saved.0.clone();
+            let task = task.filter(|task| !run.saved.is_empty() && task.attempt == run.attempt);
+            if let (Some(task), Some(id)) = (task, id) {
+                if task.saved != run.saved.0 {
+                    task.saved = run.saved.0.clone();
+                    progressed.push(id);
+                }
             }
         }
         if !runner.unknown.is_empty() {
             self.changed.insert(from);
         }
+        // A checkpoint that only this process knows would be lost with it.
+        progressed.into_iter().for_each(|id| {
+            self.write_task(id);
+        });
     }
 
     fn note_finished(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -220,3 +220,21 @@
     assert_eq!(world.orders[&at].epoch, 2);
     assert!(world.orders[&at].start.is_empty());
 }
+
+#[test]
+fn a_checkpoint_outlives_scheduler_and_runner() {
+    let mut world = World::new(1);
+    world.submit(A, r#"{"stages":[{"count":1,"cpu":500,"checkpoints":true}]}"#);
+    world.commit();
+    world.obey_all();
+    world.runners.get_mut(&node(0)).expect("a runner").saved = "half".to_owned();
+    world.report_all();
+    world.take_over(config(1, 2, 1));
+    let runner = world.runners.get_mut(&node(0)).expect("a runner");
+    runner.instance = "i-new".to_owned();
+    runner.saved.clear();
+    runner.active.clear();
+    world.report_all();
+    world.report_all();
+    assert_eq!(world.orders[&node(0)].start[0].saved.0, "half");
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -29,6 +29,8 @@
     pub lapsed: bool,
     pub settled: bool,
     pub percent: u8,
+    /// The checkpoint that its active runs list.
+    pub saved: String,
     sequence: u64,
     agent: u64,
 }
@@ -106,6 +108,7 @@
                 lapsed: false,
                 settled: true,
                 percent: 0,
+                saved: String::new(),
                 sequence: 0,
                 agent: 50 + u64::from(number),
             };
@@ -208,11 +211,11 @@
             self.orders.get(&node).map_or((0, 0), |orders| (orders.epoch, orders.revision));
         let Some(runner) = self.runners.get_mut(&node) else { return };
         runner.sequence += 1;
-        let percent = runner.percent;
+        let (percent, saved) = (runner.percent, runner.saved.clone());
         let active = runner.active.iter().map(|(task, &attempt)| ActiveRun {
             task: task.as_str().into(),
             attempt,
-            saved: "".into(),
+            saved: saved.as_str().into(),
             percent,
         });
         let report = RunnerReport {
