A lease is granted only once its holder is on disk, also where a candidate lost the vote

Cause: since a restarted process gives up the term that its disk names, the disk must name the holder of each lease. A replica that had voted for the loser of a term granted the lease to its owner without writing that down: after a restart the loser could give up the owner's lease, and at the loser itself its own restart did. A second renewal was granted before the first was synced. Change: a renewal names the owner in the promise; it is granted once that is synced. Tests red before: a_loser_of_a_term_cannot_give_up_the_lease_of_its_owner, no_lease_is_granted_before_its_holder_is_on_disk. Control tests pass.

--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -207,6 +207,9 @@
     fn on_renew_ack(&mut self, from: NodeId, ack: &RenewAck) {
         let now = self.now.steady;
         self.elections.note(ack.promised);
+        if from == self.settings.node {
+            self.replica.owner_kept(ack.epoch);
+        }
         let Some(term) = &mut self.term else { return };
         if !term.renew_ack(now, from, ack, &self.knowledge.list) {
             self.step_down();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -34,6 +34,8 @@
     /// No term is promised before: a lease may be running.
     pub lease_until: Time,
     pub(crate) followed: Option<Followed>,
+    /// The term whose owner is surely named on disk: only then is a lease granted to it.
+    owner_on_disk: Option<Epoch>,
     buffered: BTreeMap<u64, List<RecordChange>>,
     collection: Option<Collection>,
     behind_since: Option<Time>,
@@ -50,6 +52,7 @@
             records,
             lease_until: now.plus_millis(LEASE_MS),
             followed: None,
+            owner_on_disk: None,
             buffered: BTreeMap::new(),
             collection: None,
             behind_since: None,
@@ -79,17 +82,30 @@
         }
         self.lease_until = now.plus_millis(LEASE_MS);
         self.follow(from, renew);
-        if renew.epoch > self.state.promise.epoch {
-            self.state.promise = TermPromise { epoch: renew.epoch, node: from, incarnation: 0 };
-            let ack = self.renew_ack(renew);
-            effects.write(vec![put_replica(&self.state)], vec![(from, ack)]);
-        } else {
-            let ack = self.renew_ack(renew);
+        self.name_owner(from, renew.epoch);
+        let ack = self.renew_ack(renew);
+        if self.owner_on_disk == Some(renew.epoch) {
             effects.control(from, ack);
+        } else {
+            let mut then = vec![(self.node, ack.clone())];
+            then.extend((from != self.node).then_some((from, ack)));
+            effects.write(vec![put_replica(&self.state)], then);
         }
         self.catch_up(now, renew.number, effects);
     }
 
+    /// After a restart the promise alone tells who may hold a lease. It may have been made to a candidate that lost.
+    fn name_owner(&mut self, owner: NodeId, epoch: Epoch) {
+        if (self.state.promise.epoch, self.state.promise.node) != (epoch, owner) {
+            self.state.promise = TermPromise { epoch, node: owner, incarnation: 0 };
+        }
+    }
+
+    /// The owner of the term has been synced as the holder of the lease.
+    pub fn owner_kept(&mut self, epoch: Epoch) {
+        self.owner_on_disk = self.owner_on_disk.max(Some(epoch));
+    }
+
     /// Forgets what was on its way in an earlier term.
     pub(crate) fn forget_transfers(&mut self) {
         self.collection = None;
