--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -28,11 +28,11 @@
     say(world, replica, CLIENT, ControlMessage::VoteRequest(request));
     world.run(50);
     let replies = world.client_messages.iter();
-    let granted = replies.filter_map(|message| match message {
+    let mut granted = replies.filter_map(|message| match message {
         Message::Control(ControlMessage::VoteReply(reply)) => Some(reply.granted),
         _ => None,
     });
-    granted.last().expect("an answer")
+    granted.next_back().expect("an answer")
 }
 
 fn renew(sent_at: u64, source: NodeId) -> ControlMessage {
