A runner whose heartbeat is overdue is looked at; a dead port ends its runs at once

Cause: a crashed runner was reported only when its last hold was surely over, 2.6 s after its last heartbeat. Change: the seam knows probes (one GET by a connection of its own, 300 ms); an agent whose runner is 250 ms late looks at it, and reports it lapsed where the port refuses. Any answer, silence or a broken connection leave the hold. The model of runner, agent and scheduler finds the deaths too.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,8 +9,11 @@
 mod path;
 mod report;
 mod runner;
+mod settings;
 mod uplink;
+mod watch;
 
 pub use heartbeat::{HeartbeatError, MAX_ACTIVE_RUNS, MAX_FINISHED_RUNS, MAX_HEARTBEAT_BYTES};
-pub use node::{AgentNode, AgentSettings, Counters};
+pub use node::AgentNode;
 pub use path::MAX_INSTANCE_BYTES;
+pub use settings::{AgentSettings, Counters};
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -1,19 +1,21 @@
 //! The agent's process: heartbeats and orders in, answers and reports out.
+mod looks;
+mod messages;
+
 use crate::answer::{bare, Answer, Start, Stop};
 use crate::heartbeat::{Heartbeat, HeartbeatError};
-use crate::orders::{Adoption, OrderBook};
+use crate::orders::OrderBook;
 use crate::pace::ReportPace;
 use crate::path::Call;
 use crate::report::{build, Heading};
 use crate::runner::{Admission, RunnerRegister};
+use crate::settings::{AgentSettings, Counters};
 use crate::uplink::Uplink;
-use sagetrail_wire::agent::{RunnerOrders, RUNNER_HOLD_MS};
-use sagetrail_wire::bounds::Bounds;
+use crate::watch::RunnerWatch;
+use sagetrail_wire::agent::RUNNER_HOLD_MS;
 use sagetrail_wire::directory::Hello;
-use sagetrail_wire::frame;
-use sagetrail_wire::message::Relayed;
 use sagetrail_wire::node::{Door, Event, HttpReply, HttpRequest, Method, Node, Now, Outbox};
-use sagetrail_wire::{Incarnation, Message, NodeId, NodeKind, Time};
+use sagetrail_wire::{Message, NodeId, NodeKind, Time};
 
 /// After the notice of its end the process serves on for so long, in milliseconds, if its grace allows.
 const LAST_SERVICE_MS: u64 = 800;
@@ -26,36 +28,6 @@
 /// The next heartbeat is wanted after so many milliseconds while nothing runs.
 const IDLE_RETRY_MS: u64 = 200;
 
-/// What an agent is started with.
-#[derive(Clone, Debug)]
-pub struct AgentSettings {
-    pub node: NodeId,
-    pub incarnation: Incarnation,
-    pub seeds: Vec<NodeId>,
-    pub bounds: Bounds,
-    /// About so often a runner sends a heartbeat unasked.
-    pub heartbeat_ms: u64,
-    /// Seeds the choice of whom to ask.
-    pub seed: u64,
-}
-
-/// What an agent has counted.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct Counters {
-    /// Heartbeats that were taken.
-    pub heartbeats: u64,
-    /// Heartbeats not newer than one taken before.
-    pub stale_heartbeats: u64,
-    /// Heartbeats of replaced instances.
-    pub replaced_heartbeats: u64,
-    /// Heartbeats that could not be read.
-    pub malformed_heartbeats: u64,
-    /// Orders older than those adopted.
-    pub older_orders: u64,
-    /// Reports sent.
-    pub reports: u64,
-}
-
 /// The logic of the process beside a runner.
 pub struct AgentNode {
     settings: AgentSettings,
@@ -63,6 +35,7 @@
     orders: OrderBook,
     pace: ReportPace,
     uplink: Uplink,
+    watch: RunnerWatch,
     ends_at: Option<Time>,
     counters: Counters,
 }
@@ -78,6 +51,7 @@
             orders: OrderBook::new(settings.incarnation),
             pace: ReportPace::default(),
             uplink,
+            watch: RunnerWatch::default(),
             ends_at: None,
             counters: Counters::default(),
             settings,
@@ -148,7 +122,11 @@
         if hold_ms > 0 {
             self.runner.granted(now, hold_ms);
         }
-        self.answer(instance, heartbeat, hold_ms).into_reply()
+        let answer = self.answer(instance, heartbeat, hold_ms);
+        let retry_after_ms = answer.retry_after_ms.unwrap_or(IDLE_RETRY_MS);
+        let reply = answer.into_reply();
+        self.watch.heard(now, retry_after_ms);
+        reply
     }
 
     /// The hold that may be granted now; 0 for none.
@@ -195,40 +173,6 @@
         active.map(|order| Stop { task: &order.task, attempt: order.attempt }).collect()
     }
 
-    fn message(
-        &mut self, now: Time, from: NodeId, relay: Option<NodeId>, message: Message, outbox: &mut Outbox,
-    ) {
-        match message {
-            Message::Directory(directory) => self.uplink.directory(now, directory),
-            Message::NotOwner(refusal) => self.uplink.not_owner(from, &refusal),
-            Message::RunnerOrders(orders) => self.take_orders(now, from, relay, orders),
-            Message::Relayed(relayed) if relay.is_none() => self.relayed(now, from, relayed, outbox),
-            _ => {}
-        }
-    }
-
-    fn take_orders(&mut self, now: Time, from: NodeId, relay: Option<NodeId>, orders: RunnerOrders) {
-        let (epoch, answer) = (orders.epoch, orders.agent == self.settings.incarnation);
-        match self.orders.receive(now, orders) {
-            Adoption::Adopted | Adoption::Known => self.uplink.heard(from, epoch, relay, answer),
-            Adoption::Older => self.counters.older_orders += 1,
-        }
-    }
-
-    /// Unwraps what is for this process; passes on, once, what its author asks it to pass on.
-    fn relayed(&mut self, now: Time, from: NodeId, relayed: Relayed, outbox: &mut Outbox) {
-        if relayed.to == self.settings.node {
-            match frame::decode(&relayed.payload) {
-                Ok(message) => self.message(now, relayed.from, Some(from), message, outbox),
-                Err(error) => log::debug!("relayed by {from}: {error}"),
-            }
-            return;
-        }
-        if relayed.from == from && relayed.to != from {
-            outbox.send(relayed.to, Message::Relayed(relayed));
-        }
-    }
-
     /// A scheduler that is new to this process is told at once what is.
     fn note_owner(&mut self, former: Option<NodeId>) {
         if self.uplink.owner().is_some() && self.uplink.owner() != former {
@@ -237,6 +181,7 @@
     }
 
     fn note_lapse(&mut self, now: Time) {
+        self.watch.rest();
         self.orders.void_starts(now);
         self.pace.note_change();
     }
@@ -246,6 +191,7 @@
         if self.runner.check_lapse(now) {
             self.note_lapse(now);
         }
+        self.look(now, outbox);
         self.uplink.poll(now, outbox);
         if self.report_due().is_some_and(|due| due <= now) {
             self.report(now, outbox);
@@ -286,6 +232,7 @@
                 outbox.reply(id, reply);
             }
             Event::Terminate => self.terminate(steady),
+            Event::Probe { id, result } => self.probed(steady, id, result),
             Event::HttpAbandoned { .. } | Event::Synced { .. } | Event::Wake => {}
         }
         self.note_owner(owner);
@@ -294,6 +241,7 @@
 
     fn next_wake(&self) -> Option<Time> {
         let hello_due = Some(self.uplink.hello_due());
-        [hello_due, self.report_due(), self.runner.lapse_due(), self.ends_at].into_iter().flatten().min()
+        let dues = [hello_due, self.report_due(), self.runner.lapse_due(), self.watch.due(), self.ends_at];
+        dues.into_iter().flatten().min()
     }
 }
--- /dev/null
+++ b/crates/agent/src/node/messages.rs
@@ -0,0 +1,44 @@
+//! Messages of other processes.
+use super::AgentNode;
+use crate::orders::Adoption;
+use sagetrail_wire::agent::RunnerOrders;
+use sagetrail_wire::frame;
+use sagetrail_wire::message::Relayed;
+use sagetrail_wire::node::Outbox;
+use sagetrail_wire::{Message, NodeId, Time};
+
+impl AgentNode {
+    pub(super) fn message(
+        &mut self, now: Time, from: NodeId, relay: Option<NodeId>, message: Message, outbox: &mut Outbox,
+    ) {
+        match message {
+            Message::Directory(directory) => self.uplink.directory(now, directory),
+            Message::NotOwner(refusal) => self.uplink.not_owner(from, &refusal),
+            Message::RunnerOrders(orders) => self.take_orders(now, from, relay, orders),
+            Message::Relayed(relayed) if relay.is_none() => self.relayed(now, from, relayed, outbox),
+            _ => {}
+        }
+    }
+
+    fn take_orders(&mut self, now: Time, from: NodeId, relay: Option<NodeId>, orders: RunnerOrders) {
+        let (epoch, answer) = (orders.epoch, orders.agent == self.settings.incarnation);
+        match self.orders.receive(now, orders) {
+            Adoption::Adopted | Adoption::Known => self.uplink.heard(from, epoch, relay, answer),
+            Adoption::Older => self.counters.older_orders += 1,
+        }
+    }
+
+    /// Unwraps what is for this process; passes on, once, what its author asks it to pass on.
+    fn relayed(&mut self, now: Time, from: NodeId, relayed: Relayed, outbox: &mut Outbox) {
+        if relayed.to == self.settings.node {
+            match frame::decode(&relayed.payload) {
+                Ok(message) => self.message(now, relayed.from, Some(from), message, outbox),
+                Err(error) => log::debug!("relayed by {from}: {error}"),
+            }
+            return;
+        }
+        if relayed.from == from && relayed.to != from {
+            outbox.send(relayed.to, Message::Relayed(relayed));
+        }
+    }
+}
--- a/crates/agent/src/runner.rs
+++ b/crates/agent/src/runner.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Notes that the runner has died; true where that is news.
+    pub fn died(&mut self) -> bool {
+        self.current.as_mut().is_some_and(Runner::lapse)
+    }
+
     /// Notes that the runner's holds are over; true where that is news.
     pub fn check_lapse(&mut self, now: Time) -> bool {
         if self.lapse_due().is_none_or(|due| now < due) {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -4,15 +4,19 @@
 use sagetrail_wire::agent::{RunnerOrders, RunnerReport, StartOrder, StopOrder, AGENT_LEASE_MS};
 use sagetrail_wire::bounds::Bounds;
 use sagetrail_wire::directory::Directory;
-use sagetrail_wire::node::{Door, Event, HttpReply, HttpRequest, HttpRequestId, Method, Node, Now, Outbox};
+use sagetrail_wire::node::{
+    Door, Event, HttpReply, HttpRequest, HttpRequestId, Method, Node, Now, Outbox, Probe,
+};
 use sagetrail_wire::{Epoch, Incarnation, List, Message, NodeId, Time};
 use serde_json::{json, Value};
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 pub const AGENT: NodeId = NodeId { ip: 1, port: 1 };
 pub const OWNER: NodeId = NodeId { ip: 10, port: 1 };
 pub const OTHER: NodeId = NodeId { ip: 11, port: 1 };
 pub const THIRD: NodeId = NodeId { ip: 12, port: 1 };
 pub const RELAY: NodeId = NodeId { ip: 20, port: 1 };
+pub const APP: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 39), 8145);
 pub const INCARNATION: Incarnation = 77;
 pub const TASK: &str = "5c0e7a21d94b36f8.0.1.17";
 pub const RUNNER: &str = "i-7f3a91c2";
@@ -21,6 +25,7 @@
     pub agent: AgentNode,
     pub now: Time,
     pub sends: Vec<(NodeId, Message)>,
+    pub probes: Vec<Probe>,
     pub finished: bool,
     next_request: u64,
 }
@@ -36,6 +41,7 @@
         seeds: vec![OWNER, OTHER, THIRD],
         bounds: Bounds::default(),
         heartbeat_ms: 1500,
+        runner_address: Some(APP),
         seed: 5,
     }
 }
@@ -49,7 +55,8 @@
         let mut outbox = Outbox::default();
         let time = Time(1_000);
         let agent = AgentNode::new(settings(incarnation), now(time), &mut outbox);
-        Script { agent, now: time, sends: outbox.sends, finished: false, next_request: 0 }
+        let sends = outbox.sends;
+        Script { agent, now: time, sends, probes: Vec::new(), finished: false, next_request: 0 }
     }
 
     /// An agent that knows the scheduler, has orders without content, and whose runner has been heard twice.
@@ -70,6 +77,7 @@
         let mut outbox = Outbox::default();
         self.agent.handle(now(self.now), event, &mut outbox);
         self.sends.append(&mut outbox.sends);
+        self.probes.append(&mut outbox.probes);
         self.finished |= outbox.finished;
         outbox.replies.pop().map(|(_, reply)| reply)
     }
--- a/crates/agent/tests/model/runner.rs
+++ b/crates/agent/tests/model/runner.rs
@@ -15,6 +15,8 @@
 
 pub struct Runner {
     pub number: u64,
+    /// Its port is dead before.
+    pub up_ms: u64,
     pub running: BTreeMap<String, u64>,
     finished: Vec<(u64, String, u64, &'static str)>,
     ended: BTreeMap<String, u64>,
@@ -35,6 +37,7 @@
     pub fn new(number: u64, now_ms: u64) -> Runner {
         Runner {
             number,
+            up_ms: now_ms,
             running: BTreeMap::new(),
             finished: Vec::new(),
             ended: BTreeMap::new(),
--- a/crates/agent/tests/model/world.rs
+++ b/crates/agent/tests/model/world.rs
@@ -5,7 +5,9 @@
 use crate::common::{now, settings, AGENT, OWNER};
 use sagetrail_agent::AgentNode;
 use sagetrail_wire::directory::Directory;
-use sagetrail_wire::node::{Door, Event, HttpRequest, HttpRequestId, Method, Node, Outbox};
+use sagetrail_wire::node::{
+    Door, Event, HttpRequest, HttpRequestId, Method, Node, Outbox, ProbeId, ProbeResult,
+};
 use sagetrail_wire::{List, Message, Time};
 
 const TASKS: [&str; 3] = ["a.0.0.0", "b.0.0.0", "c.0.0.0"];
@@ -15,6 +17,8 @@
     Answer { runner: u64, sequence: u64, body: Vec<u8> },
     ToAgent { agent: u64, message: Message },
     ToScheduler { epoch: u64, message: Message },
+    Probe { agent: u64, id: ProbeId },
+    Probed { agent: u64, id: ProbeId, result: ProbeResult },
 }
 
 pub struct World {
@@ -29,6 +33,7 @@
     scheduler: Scheduler,
     cut_until_ms: u64,
     pub starts: u64,
+    pub deaths_found: u64,
 }
 
 impl World {
@@ -45,6 +50,7 @@
             scheduler: Scheduler::new(),
             cut_until_ms: 0,
             starts: 0,
+            deaths_found: 0,
         }
     }
 
@@ -74,7 +80,8 @@
         }
         if self.chance.once_in(30_000) {
             self.starts += self.runner.starts;
-            self.runner = Runner::new(self.runner.number + 1, self.now_ms + 300);
+            let up_ms = self.now_ms + 300 + self.chance.below(1_500);
+            self.runner = Runner::new(self.runner.number + 1, up_ms);
         }
         if self.chance.once_in(30_000) {
             self.cut_until_ms = self.now_ms + self.chance.below(40_000);
@@ -124,6 +131,26 @@
                 self.send(Letter::ToScheduler { epoch, message });
             }
         }
+        for probe in outbox.probes {
+            self.send(Letter::Probe { agent: self.agent_number, id: probe.id });
+        }
+    }
+
+    /// A look finds the port as it is when it comes there; what it found may come late.
+    fn probe(&mut self, agent: u64, id: ProbeId) {
+        let result = match self.chance.below(10) {
+            0 => ProbeResult::Silent,
+            _ if self.now_ms < self.runner.up_ms => ProbeResult::Refused,
+            _ => ProbeResult::Status(200),
+        };
+        self.send(Letter::Probed { agent, id, result });
+    }
+
+    fn probed(&mut self, id: ProbeId, result: ProbeResult) {
+        let deaths = |world: &World| world.agent.as_ref().map_or(0, |agent| agent.counters().deaths);
+        let before = deaths(self);
+        self.agent_event(Event::Probe { id, result });
+        self.deaths_found += deaths(self) - before;
     }
 
     fn send(&mut self, letter: Letter) {
@@ -157,6 +184,10 @@
                 Letter::ToScheduler { epoch, message } if epoch == self.scheduler.epoch => {
                     self.scheduler_message(message);
                 }
+                Letter::Probe { agent, id } => self.probe(agent, id),
+                Letter::Probed { agent, id, result } if agent == self.agent_number => {
+                    self.probed(id, result);
+                }
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/agent/tests/watch.rs
@@ -0,0 +1,146 @@
+//! A runner whose heartbeat is overdue is looked at, and a dead one is reported at once.
+mod common;
+use common::*;
+use sagetrail_agent::AgentNode;
+use sagetrail_wire::agent::RunnerOrders;
+use sagetrail_wire::node::{Event, Outbox, ProbeId, ProbeResult};
+use sagetrail_wire::Time;
+use serde_json::json;
+
+/// Beyond the time at which a heartbeat is overdue that was wanted after 100 ms.
+const OVERDUE_MS: u64 = 360;
+
+fn with_a_run() -> Script {
+    let mut script = Script::settled();
+    script.beat(3, json!({"active":[[TASK, 1, "", 1]]}));
+    script
+}
+
+fn looked(script: &mut Script, id: ProbeId, result: ProbeResult) {
+    script.event(Event::Probe { id, result });
+}
+
+#[test]
+fn a_runner_that_beats_is_not_looked_at() {
+    let mut script = with_a_run();
+    for sequence in 4..60 {
+        script.pass(100);
+        script.beat(sequence, json!({"active":[[TASK, 1, "", 1]]}));
+    }
+    assert!(script.probes.is_empty());
+}
+
+#[test]
+fn a_dead_port_ends_all_runs_at_once() {
+    let mut script = with_a_run();
+    script.pass(OVERDUE_MS);
+    let probe = script.probes.pop().expect("a look");
+    assert_eq!((probe.address, &*probe.path), (APP, "/healthz"));
+    assert!(!script.last_report().lapsed);
+    looked(&mut script, probe.id, ProbeResult::Refused);
+    script.pass(10);
+    let report = script.last_report();
+    assert!(report.lapsed && report.present && report.active.is_empty());
+    assert!(report.silent_ms < 400, "{}", report.silent_ms);
+    assert_eq!((script.agent.counters().probes, script.agent.counters().deaths), (1, 1));
+}
+
+#[test]
+fn a_dead_runner_is_not_looked_at_again() {
+    let mut script = with_a_run();
+    script.pass(OVERDUE_MS);
+    let probe = script.probes.pop().expect("a look");
+    looked(&mut script, probe.id, ProbeResult::Refused);
+    script.pass(10_000);
+    assert!(script.probes.is_empty());
+}
+
+#[test]
+fn an_answer_of_any_kind_and_silence_leave_the_hold() {
+    for result in [ProbeResult::Status(200), ProbeResult::Status(503), ProbeResult::Silent] {
+        let mut script = with_a_run();
+        script.pass(OVERDUE_MS);
+        let probe = script.probes.pop().expect("a look");
+        looked(&mut script, probe.id, result);
+        script.pass(2_200);
+        assert!(!script.last_report().lapsed, "{result:?}");
+        script.pass(200);
+        assert!(script.last_report().lapsed, "{result:?}");
+    }
+}
+
+#[test]
+fn looks_are_few() {
+    let mut script = with_a_run();
+    script.pass(20_000);
+    assert_eq!(script.probes.len(), 3, "at 350, 850 and 1850 ms, and none after the hold");
+}
+
+#[test]
+fn a_refusal_that_a_heartbeat_overtook_tells_nothing() {
+    let mut script = with_a_run();
+    script.pass(OVERDUE_MS);
+    let probe = script.probes.pop().expect("a look");
+    script.beat(4, json!({"active":[[TASK, 1, "", 1]]}));
+    looked(&mut script, probe.id, ProbeResult::Refused);
+    script.pass(20);
+    assert!(!script.last_report().lapsed);
+}
+
+#[test]
+fn only_the_last_look_counts() {
+    let mut script = with_a_run();
+    script.pass(OVERDUE_MS + 500);
+    let ids: Vec<ProbeId> = script.probes.iter().map(|probe| probe.id).collect();
+    assert_eq!(ids.len(), 2);
+    looked(&mut script, ids[0], ProbeResult::Refused);
+    script.pass(20);
+    assert!(!script.last_report().lapsed);
+    looked(&mut script, ids[1], ProbeResult::Refused);
+    script.pass(20);
+    assert!(script.last_report().lapsed);
+    looked(&mut script, ids[1], ProbeResult::Refused);
+    assert_eq!(script.agent.counters().deaths, 1);
+}
+
+#[test]
+fn a_dead_runner_starts_nothing_until_a_later_answer() {
+    let mut script = Script::settled();
+    script.orders(orders_with_start(1, 2), true);
+    let before = script.now.0;
+    script.pass(600);
+    let probe = script.probes.pop().expect("a look");
+    looked(&mut script, probe.id, ProbeResult::Refused);
+    assert!(script.beat(3, json!({}))["start"].is_null());
+    script.orders(RunnerOrders { agent: INCARNATION, sent_at: before, ..orders_with_start(1, 2) }, false);
+    assert!(script.beat(4, json!({}))["start"].is_null());
+    script.pass(1);
+    script.orders(orders_with_start(1, 2), true);
+    assert!(script.beat(5, json!({}))["start"].is_array());
+}
+
+#[test]
+fn an_idle_runner_gets_as_long_as_it_was_told() {
+    let mut script = Script::settled();
+    script.orders(RunnerOrders { retry_after_ms: 400, ..orders(1, 2) }, true);
+    script.beat(3, json!({}));
+    script.pass(640);
+    assert!(script.probes.is_empty());
+    script.pass(11);
+    assert_eq!(script.probes.len(), 1);
+}
+
+#[test]
+fn without_a_setting_the_address_of_the_heartbeat_is_looked_at() {
+    let mut script = Script::new();
+    let mut outbox = Outbox::default();
+    let settings = sagetrail_agent::AgentSettings { runner_address: None, ..settings(INCARNATION) };
+    script.agent = AgentNode::new(settings, now(Time(1_000)), &mut outbox);
+    script.beat(1, json!({}));
+    script.pass(500);
+    assert_eq!(script.probes[0].address.to_string(), "10.128.0.9:8080");
+    script.probes.clear();
+    script.beat(2, json!({"address": "nowhere"}));
+    script.pass(500);
+    assert!(script.probes.is_empty());
+}
--- a/crates/cluster-sim/src/cluster/life.rs
+++ b/crates/cluster-sim/src/cluster/life.rs
@@ -67,6 +67,7 @@
             self.reply(id, reply);
         }
         self.writes(node, outbox.writes);
+        self.start_probes(node, outbox.probes);
         let terminating = self.processes.get(&node).is_some_and(|process| process.terminating);
         if outbox.finished && terminating {
             self.finish_gracefully(node);
--- a/crates/cluster-sim/src/cluster/mod.rs
+++ b/crates/cluster-sim/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 mod calls;
 mod life;
 mod outside;
+mod probes;
 mod trouble;
 
 use crate::actor::{CallTag, Outcome, Surroundings};
@@ -16,9 +17,10 @@
 use crate::process::{Factory, Process};
 use crate::runner::Runner;
 use calls::Call;
+use probes::Look;
 use sagetrail_wire::bounds::Bounds;
 use sagetrail_wire::frame;
-use sagetrail_wire::node::{DiskWrite, Event, HttpReply, HttpRequest, HttpRequestId};
+use sagetrail_wire::node::{DiskWrite, Event, HttpReply, HttpRequest, HttpRequestId, ProbeResult};
 use sagetrail_wire::{Message, NodeId, NodeKind};
 use std::collections::BTreeMap;
 
@@ -72,6 +74,8 @@
     RequestArrives { id: HttpRequestId, request: HttpRequest },
     OutcomeArrives { id: HttpRequestId, outcome: Outcome },
     CallTimeout(HttpRequestId),
+    ProbeArrives(Look),
+    Probed { look: Look, result: ProbeResult },
     ActorWake { actor: ActorId, at: Micros },
     Fault(Fault),
     Thaw { node: NodeId, generation: u64 },
@@ -197,6 +201,8 @@
             WorldEvent::RequestArrives { id, request } => self.request_arrives(id, request),
             WorldEvent::OutcomeArrives { id, outcome } => self.outcome_arrives(id, outcome),
             WorldEvent::CallTimeout(id) => self.call_timeout(id),
+            WorldEvent::ProbeArrives(look) => self.probe_arrives(look),
+            WorldEvent::Probed { look, result } => self.probed(look, result),
             WorldEvent::ActorWake { actor, at } => self.wake_actor(actor, at),
             WorldEvent::Fault(fault) => self.apply(fault),
             WorldEvent::Thaw { node, generation } => self.thaw(node, generation),
--- a/crates/cluster-sim/src/real.rs
+++ b/crates/cluster-sim/src/real.rs
@@ -64,6 +64,7 @@
             seeds: birth.seeds,
             bounds: birth.bounds,
             heartbeat_ms: birth.heartbeat_ms,
+            runner_address: None,
             seed: birth.seed,
         };
         let node: Box<dyn Node> = Box::new(AgentNode::new(settings, birth.now, outbox));
--- a/crates/cluster-sim/src/runner/mod.rs
+++ b/crates/cluster-sim/src/runner/mod.rs
@@ -105,6 +105,11 @@
         format!("i-{:02}-{:03}", self.plan.number, self.lives)
     }
 
+    /// The process beside it.
+    pub fn agent(&self) -> NodeId {
+        self.plan.agent
+    }
+
     /// True while it is up.
     pub fn is_up(&self) -> bool {
         self.up
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -170,7 +170,7 @@
             Event::Http { id, door, request } => self.on_http(id, door, request),
             Event::HttpAbandoned { id } => self.operator.abandoned(id),
             Event::Synced { token } => self.courier.synced(token),
-            Event::Wake => {}
+            Event::Probe { .. } | Event::Wake => {}
             Event::Terminate => self.terminate(),
         }
         self.settle_all(outbox);
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -1,6 +1,6 @@
 //! What reaches the loop that drives the logic, from sockets, disk and signals.
 use crate::disk::DiskError;
-use sagetrail_wire::node::{Door, HttpReply, HttpRequest, HttpRequestId};
+use sagetrail_wire::node::{Door, HttpReply, HttpRequest, HttpRequestId, ProbeId, ProbeResult};
 use sagetrail_wire::{Message, NodeId};
 use tokio::sync::{mpsc, oneshot};
 
@@ -12,6 +12,8 @@
     Request { id: HttpRequestId, door: Door, request: HttpRequest, reply: oneshot::Sender<HttpReply> },
     /// The caller of a request has gone.
     Abandoned { id: HttpRequestId },
+    /// What came of a probe.
+    Probed { id: ProbeId, result: ProbeResult },
     /// Disk writes are synced: what waited for them.
     Synced { then: Vec<(NodeId, Message)>, tokens: Vec<u64> },
     /// The disk failed; what it holds is known only after a restart.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod input;
 pub mod logs;
 pub mod phase;
+pub mod probe;
 pub mod process;
 pub mod settings;
 pub mod side_process;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,8 +1,9 @@
 //! The loop that drives the logic of a process: takes what happened, performs what the logic wants done.
 use crate::clocks::Clocks;
 use crate::disk::{Disk, DiskError};
-use crate::input::Input;
+use crate::input::{Input, Inputs};
 use crate::phase::{Phase, PhaseSetter};
+use crate::probe;
 use crate::transport::Transport;
 use sagetrail_wire::node::{Event, HttpReply, HttpRequestId, Node, Outbox};
 use sagetrail_wire::{Message, NodeId, Time};
@@ -36,6 +37,8 @@
     pub transport: Transport,
     /// Only core processes have one.
     pub disk: Option<Disk>,
+    /// Only side processes look at others: where the results go.
+    pub probe_results: Option<Inputs>,
     pub phase: PhaseSetter,
     /// From being told to end to the end at the latest.
     pub grace: Duration,
@@ -132,6 +135,7 @@
                 then.into_iter().for_each(|(to, message)| self.send(to, message));
                 tokens.into_iter().for_each(|token| self.tell(Event::Synced { token }));
             }
+            Input::Probed { id, result } => self.tell(Event::Probe { id, result }),
             Input::DiskFailed(error) => return Some(Ended::DiskFailed(error)),
             Input::Terminate => self.terminate(),
         }
@@ -173,6 +177,12 @@
                 None => log::error!("a write to disk by a process without one"),
             }
         }
+        for probe in std::mem::take(&mut self.outbox.probes) {
+            match &self.parts.probe_results {
+                Some(results) => probe::start(probe, results.clone()),
+                None => log::error!("a probe by a process that makes none"),
+            }
+        }
         for (to, message) in std::mem::take(&mut self.outbox.sends) {
             self.send(to, message);
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -38,6 +38,9 @@
     #[serde(default = "default_heartbeat_ms")]
     #[validate(custom(function = check::is_positive))]
     pub heartbeat_ms: Number,
+    /// Where the runner of the machine accepts calls, on side machines.
+    #[serde(default)]
+    pub app: Option<SocketAddrV4>,
     #[serde(default)]
     pub bind_addrs: BindAddresses,
     #[serde(default)]
--- a/crates/daemon/src/side_process.rs
+++ b/crates/daemon/src/side_process.rs
@@ -11,6 +11,7 @@
         seeds: ground.seeds,
         bounds: ground.bounds,
         heartbeat_ms: ground.settings.heartbeat_ms.whole(),
+        runner_address: ground.settings.app,
         seed: ground.seed,
     };
     Box::new(AgentNode::new(settings, now, outbox))
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -133,7 +133,9 @@
     let mut outbox = Outbox::default();
     let logic = maker(ground, clocks.now(), &mut outbox);
     let grace = grace.saturating_sub(GRACE_MARGIN);
-    let parts = Parts { node, clocks, inputs, transport: transport.clone(), disk, phase, grace };
+    let probe_results = (kind == NodeKind::Side).then_some(sender);
+    let transport_used = transport.clone();
+    let parts = Parts { node, clocks, inputs, transport: transport_used, disk, probe_results, phase, grace };
     let mut process = Process::new(logic, outbox, parts);
     let ended = process.run().await;
     if let Ended::DiskFailed(error) = ended {
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -10,7 +10,7 @@
 use sagetrail_daemon::process::{Ended, Parts, Process};
 use sagetrail_daemon::transport::Transport;
 use sagetrail_wire::node::{
-    DiskOperation, DiskWrite, Door, Event, HttpReply, HttpRequestId, Node, Now, Outbox, Table,
+    DiskOperation, DiskWrite, Door, Event, HttpReply, HttpRequestId, Node, Now, Outbox, Probe, ProbeId, Table,
 };
 use sagetrail_wire::{NodeId, Time};
 use std::net::SocketAddr;
@@ -68,6 +68,11 @@
                             vec![DiskOperation::Put { table: Table::Control, key, value: b"kept".to_vec() }];
                         outbox.writes.push(DiskWrite { operations, then: Vec::new(), token: Some(5) });
                     }
+                    "/probe" => {
+                        self.waiting.push(id);
+                        let address = std::str::from_utf8(&request.body).unwrap().parse().unwrap();
+                        outbox.probe(Probe { id: ProbeId(3), address, path: "/busy".to_owned() });
+                    }
                     _ => outbox.reply(id, reply(200, "{\"a\":1}")),
                 }
             }
@@ -86,6 +91,11 @@
                 assert_eq!(token, 5);
                 self.answer_all(outbox);
             }
+            Event::Probe { id, result } => {
+                assert_eq!(id, ProbeId(3));
+                self.seen.lock().unwrap().push(format!("{result:?}"));
+                self.answer_all(outbox);
+            }
             Event::Wake => {
                 self.wake_at = None;
                 self.answer_all(outbox);
@@ -140,8 +150,18 @@
     let logic =
         Logic { node, seen: Arc::clone(&seen), waiting: Vec::new(), wake_at: None, finish: plan.finish };
     let grace = plan.grace;
+    let results = sender.clone();
     let running = tokio::task::spawn_local(async move {
-        let parts = Parts { node, clocks: Clocks::start(), inputs, transport, disk, phase, grace };
+        let parts = Parts {
+            node,
+            clocks: Clocks::start(),
+            inputs,
+            transport,
+            disk,
+            probe_results: Some(results),
+            phase,
+            grace,
+        };
         let mut process = Process::new(Box::new(logic), Outbox::default(), parts);
         let ended = process.run().await;
         process.close();
@@ -212,6 +232,24 @@
     .await;
 }
 
+#[tokio::test]
+async fn looks_at_others_are_performed_and_told() {
+    on_stage(async {
+        let stage = start(PLAN);
+        let mut stream = TcpStream::connect(stage.control).await.unwrap();
+        let free = free_node();
+        let dead = format!("{free}");
+        for (address, result) in [(dead, "Refused"), (stage.door.to_string(), "Status(503)")] {
+            let length = address.len();
+            let text = format!("POST /probe HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{address}");
+            send(&mut stream, &text).await;
+            receive(&mut stream).await;
+            until_seen(&stage, result).await;
+        }
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_body_over_the_limit_is_refused_unread_by_the_logic() {
     on_stage(async {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -161,7 +161,7 @@
                 let grace_s = self.settings.bounds.grace_s;
                 self.drain.get_or_insert_with(|| Drain::start(steady, grace_s));
             }
-            Event::Synced { .. } | Event::Wake => {}
+            Event::Synced { .. } | Event::Probe { .. } | Event::Wake => {}
         }
         self.run_due(steady, outbox);
     }
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -3,6 +3,7 @@
 use crate::id::NodeId;
 use crate::message::Message;
 use crate::time::Time;
+use std::net::SocketAddrV4;
 
 /// Names a request of HTTP until it is answered.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -98,6 +99,32 @@
     pub records: Vec<(Vec<u8>, Vec<u8>)>,
 }
 
+/// Names a probe until its result comes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct ProbeId(pub u64);
+
+/// A look at another process: one GET by a connection of its own.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Probe {
+    pub id: ProbeId,
+    pub address: SocketAddrV4,
+    pub path: String,
+}
+
+/// So long a probe waits for its answer, in milliseconds.
+pub const PROBE_TIMEOUT_MS: u64 = 300;
+
+/// What came of a probe.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Hash)]
+pub enum ProbeResult {
+    /// The machine is up and nothing listens at the address.
+    Refused,
+    /// It was answered with this status.
+    Status(u16),
+    /// No answer in time, or a connection that broke off.
+    Silent,
+}
+
 /// What happens to a process.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Event {
@@ -119,6 +146,11 @@
     Synced {
         token: u64,
     },
+    /// What came of a probe; told once for each.
+    Probe {
+        id: ProbeId,
+        result: ProbeResult,
+    },
     /// The instant asked for by `Node::next_wake` has come.
     Wake,
     /// The platform wants the process to end within its grace.
@@ -132,6 +164,7 @@
     pub sends: Vec<(NodeId, Message)>,
     pub replies: Vec<(HttpRequestId, HttpReply)>,
     pub writes: Vec<DiskWrite>,
+    pub probes: Vec<Probe>,
     /// True: everything is settled and the process may end (after `Event::Terminate`).
     pub finished: bool,
 }
@@ -146,6 +179,11 @@
     pub fn reply(&mut self, id: HttpRequestId, reply: HttpReply) {
         self.replies.push((id, reply));
     }
+
+    /// Looks at another process; `Event::Probe` tells what came of it.
+    pub fn probe(&mut self, probe: Probe) {
+        self.probes.push(probe);
+    }
 }
 
 /// The clocks at an event.
