--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod reader;
 mod records;
 mod recovery;
+mod renounce;
 mod replica;
 mod settings;
 mod snapshot;
--- a/crates/control/src/outer.rs
+++ b/crates/control/src/outer.rs
@@ -44,6 +44,9 @@
             if !self.knowledge.list.contains(from) {
                 self.joiners.hear(now, from);
             }
+            if self.replica.holder_is_back(now, from) {
+                self.elections.hasten();
+            }
         } else {
             self.leases.hear(now, from, hello.kind);
         }
