Tests of processes that serve nobody, below the relays that a directory names

Cause: the shape of the tree with bounded lists was tested through whole processes only.

Change: the best relays are the same however lists are merged; leaves spread over them; a leaf serves nobody.

Measured: the four tests pass; no change of the program.

--- /dev/null
+++ b/crates/distribution/tests/leaves.rs
@@ -0,0 +1,52 @@
+//! Processes that serve nobody, below the relays that a directory names.
+mod network;
+use network::{node, nodes};
+use sagetrail_distribution::{best_relays, leaf_parents, parents, Relay};
+use sagetrail_wire::directory::MAX_RELAYS;
+use sagetrail_wire::distribution::Subscribe;
+use sagetrail_wire::{NodeId, Time};
+use std::collections::BTreeMap;
+
+#[test]
+fn the_best_relays_are_the_same_whoever_merges_the_lists() {
+    let all = nodes(3..303);
+    let best = best_relays(all.clone(), MAX_RELAYS);
+    assert_eq!(best.len(), MAX_RELAYS);
+    let (one, other) = all.split_at(120);
+    let mut merged = best_relays(other.to_vec(), MAX_RELAYS);
+    merged.extend(best_relays(one.to_vec(), MAX_RELAYS));
+    assert_eq!(best_relays(merged, MAX_RELAYS), best);
+}
+
+#[test]
+fn leaves_and_relays_that_are_not_named_spread_over_those_that_are() {
+    for cores in [3, 9] {
+        let core = nodes(0..cores);
+        let others = nodes(cores..cores + 300);
+        let best = best_relays(others.clone(), MAX_RELAYS);
+        let leaves = nodes(1_000..1_100);
+        let mut children: BTreeMap<NodeId, usize> = BTreeMap::new();
+        for other in others.iter().filter(|other| !best.contains(other)) {
+            *children.entry(parents(*other, &core, &best)[0]).or_default() += 1;
+        }
+        for leaf in &leaves {
+            *children.entry(leaf_parents(*leaf, &core, &best)[0]).or_default() += 1;
+        }
+        assert!(children.keys().all(|parent| best.contains(parent)));
+        assert!(children.values().all(|count| *count <= 40), "{children:?}");
+    }
+}
+
+#[test]
+fn a_leaf_uses_the_few_relays_there_are() {
+    let (core, relays) = (nodes(0..9), nodes(9..13));
+    assert!(relays.contains(&leaf_parents(node(50), &core, &relays)[0]));
+    assert!(core.contains(&leaf_parents(node(50), &core, &[])[0]));
+}
+
+#[test]
+fn a_leaf_serves_nobody() {
+    let mut leaf = Relay::leaf(node(50), 1);
+    leaf.candidates(&nodes(0..3), &nodes(3..35));
+    assert_eq!(leaf.subscribe(node(7), Subscribe { have: 0 }, Time(5_000)), []);
+}
