--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,6 +1,7 @@
 //! The agent beside a runner: it takes the runner's heartbeats, extends its hold within a lease of the scheduler,
 //! hands it the scheduler's orders and reports to the scheduler what is.
 mod answer;
+mod distribution;
 mod heartbeat;
 mod lists;
 mod node;
--- a/crates/agent/src/node.rs
+++ b/crates/agent/src/node.rs
@@ -3,6 +3,7 @@
 mod messages;
 
 use crate::answer::{bare, Answer, Start, Stop};
+use crate::distribution::ConfigRelay;
 use crate::heartbeat::{Heartbeat, HeartbeatError};
 use crate::orders::OrderBook;
 use crate::pace::ReportPace;
@@ -36,6 +37,7 @@
     pace: ReportPace,
     uplink: Uplink,
     watch: RunnerWatch,
+    config: ConfigRelay,
     ends_at: Option<Time>,
     counters: Counters,
 }
@@ -52,6 +54,7 @@
             pace: ReportPace::default(),
             uplink,
             watch: RunnerWatch::default(),
+            config: ConfigRelay::new(settings.node, settings.seed),
             ends_at: None,
             counters: Counters::default(),
             settings,
@@ -65,6 +68,11 @@
         self.counters
     }
 
+    /// The version of the configuration held, 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.config.version()
+    }
+
     fn http(&mut self, now: Time, door: Door, request: &HttpRequest) -> HttpReply {
         if door != Door::Control {
             return bare(404);
@@ -191,6 +199,7 @@
         if self.runner.check_lapse(now) {
             self.note_lapse(now);
         }
+        self.config.poll(now, &mut self.uplink, outbox);
         self.look(now, outbox);
         self.uplink.poll(now, outbox);
         if self.report_due().is_some_and(|due| due <= now) {
@@ -241,7 +250,14 @@
 
     fn next_wake(&self) -> Option<Time> {
         let hello_due = Some(self.uplink.hello_due());
-        let dues = [hello_due, self.report_due(), self.runner.lapse_due(), self.watch.due(), self.ends_at];
+        let dues = [
+            hello_due,
+            self.report_due(),
+            self.config.next_wake(),
+            self.runner.lapse_due(),
+            self.watch.due(),
+            self.ends_at,
+        ];
         dues.into_iter().flatten().min()
     }
 }
--- a/crates/agent/src/node/messages.rs
+++ b/crates/agent/src/node/messages.rs
@@ -16,7 +16,7 @@
             Message::NotOwner(refusal) => self.uplink.not_owner(from, &refusal),
             Message::RunnerOrders(orders) => self.take_orders(now, from, relay, orders),
             Message::Relayed(relayed) if relay.is_none() => self.relayed(now, from, relayed, outbox),
-            _ => {}
+            message => self.config.message(now, from, message, outbox),
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,6 +5,7 @@
 use crate::effects::Effects;
 use crate::founding::Founding;
 use crate::knowledge::Knowledge;
+use crate::leases::Leases;
 use crate::membership::Joiners;
 use crate::operator::Operator;
 use crate::persisted::{ControlState, ReplicaState};
@@ -63,6 +64,7 @@
     /// The term of this process's former life, while it says that it holds it no more.
     pub(crate) renouncing: Option<Renouncing>,
     pub(crate) joiners: Joiners,
+    pub(crate) leases: Leases,
     pub(crate) subscribers: Subscribers,
     pub(crate) delayed: VecDeque<Delayed>,
     pub(crate) learn_askers: Vec<LearnAsker>,
@@ -99,6 +101,7 @@
             term: None,
             renouncing: None,
             joiners: Joiners::default(),
+            leases: Leases::default(),
             subscribers: Subscribers::default(),
             delayed: VecDeque::new(),
             learn_askers: Vec::new(),
--- a/crates/control/src/outer.rs
+++ b/crates/control/src/outer.rs
@@ -47,6 +47,8 @@
             if self.replica.holder_is_back(now, from) {
                 self.elections.hasten();
             }
+        } else {
+            self.leases.hear(now, from, hello.kind);
         }
         let (epoch, owner) = self.known_owner();
         let directory = Directory {
@@ -55,7 +57,7 @@
             epoch,
             owner,
             config_version: self.knowledge.config_version(),
-            relays: List::default(),
+            relays: List(self.leases.relays(now, self.knowledge.list.members.len())),
         };
         self.effects.sends.push((from, Message::Directory(directory)));
     }
