A category bound to some runners is sent to no others, at any attempt

Nothing else sends by another way: every hand-off passes 'usable'.

Change: the machine kind that a category needs and the two new settings are one placement, read in one place and asked in the same choice as for unbound work (open_to in usable and in a work item's places); the runners in use are ranked group by group of those open to the same bound categories. Where only draining binds, a runner that is gone by the list stays, rested until one try shows what is so; one listed as draining gets nothing, gone or not. The exchange's stories name the new field.

--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1,6 +1,6 @@
 //! Stories of the exchange without a socket: one fake world, driven by calls with the time.
 use sagetrail_core::*;
-use sagetrail_policy::{Category, Dispatcher, Job, Repeat, Terms};
+use sagetrail_policy::{Category, Dispatcher, Job, Placement, Repeat, Terms};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -48,7 +48,7 @@
         tardy: 0.2,
         repeat,
         window_s: 3.0,
-        kind: None,
+        placement: Placement::default(),
     };
     let terms = Terms {
         replicas: 1,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -9,6 +9,7 @@
 pub use crate::state::Dispatcher;
 use crate::state::{Attempt, Runner, Work};
 use crate::terms::*;
+use std::collections::BTreeSet;
 
 /// P-min: just under 1 - 1/e, so a runner without the key is passed over while any with room has it.
 const P_MIN: f64 = 0.63;
@@ -166,7 +167,7 @@
         let key = self.works[w as usize].job.key;
         let order = self.order(w);
         let left = |d: &Self, r: usize| d.terms.probes && now < d.runners[r].left_until;
-        let fit = |d: &Self, r: usize| d.of_kind(w, r) && d.may_go(w, r, now) && !left(d, r);
+        let fit = |d: &Self, r: usize| d.open_to(w, r) && d.may_go(w, r, now) && !left(d, r);
         let mut near = Ring::default();
         order.samples().iter().filter(|&&r| fit(self, r)).for_each(|&r| near.push(r));
         // Guards against a cut or a group that takes all of them: others come up in their stead.
@@ -229,15 +230,18 @@
 
     /// What the list says. `None` for a runner means it is gone.
     pub fn listed(&mut self, now: f64, news: News, entries: &[(usize, Option<Listed>)]) {
+        let stays_open = self.terms.only_draining_binds;
         if news != News::Changes {
-            self.runners.iter_mut().for_each(|r| r.at.ready = false);
+            let named: BTreeSet<usize> = entries.iter().map(|(index, _)| *index).collect();
+            let missing = (0..self.runners.len()).filter(|r| !named.contains(r));
+            missing.for_each(|r| self.runners[r].gone(now, stays_open));
         }
         for &(index, listed) in entries {
             let known = self.runners.len().max(index + 1);
             self.runners.resize_with(known, Runner::new);
             let runner = &mut self.runners[index];
             match listed {
-                None => runner.at.ready = false,
+                None => runner.gone(now, stays_open),
                 Some(listed) => {
                     // A restart forgets keys, room and verdicts: the new process has none of them.
                     // Guards against clocks that differ: any other stamp is another start, and that was not
@@ -282,15 +286,18 @@
     }
 
     /// Guards against hundreds of connections: who cannot use all runners uses those that rank highest in a
-    /// hash of its own number and theirs; as many, by themselves, of a kind that some category needs.
+    /// hash of its own number and theirs; as many, by themselves, of those open to the same bound categories.
     fn choose(&mut self) {
         let most = if self.terms.probes { usize::MAX } else { self.wanted as usize };
-        let (runners, categories) = (&self.runners, &self.terms.categories);
-        let needed = |r: usize| categories.iter().find_map(|c| c.kind.filter(|k| *k == runners[r].at.kind));
-        let mut ready: Vec<usize> = (0..runners.len()).filter(|&r| runners[r].ready()).collect();
-        ready.sort_unstable_by_key(|&r| (needed(r), !runners[r].rank, r));
-        let alike = ready.chunk_by(|&a, &b| needed(a) == needed(b));
-        self.chosen = alike.flat_map(|kind| kind.iter().take(most)).copied().collect();
+        let runners = &self.runners;
+        let bound: Vec<&Placement> =
+            self.terms.categories.iter().map(|c| &c.placement).filter(|p| p.binds()).collect();
+        let open_to = |r: usize| bound.iter().map(|p| p.admits(&runners[r].at)).collect::<Vec<bool>>();
+        let ready = (0..runners.len()).filter(|&r| runners[r].ready());
+        let mut ready: Vec<_> = ready.map(|r| (open_to(r), !runners[r].rank, r)).collect();
+        ready.sort_unstable();
+        let alike = ready.chunk_by(|a, b| a.0 == b.0);
+        self.chosen = alike.flat_map(|group| group.iter().take(most)).map(|(.., r)| *r).collect();
         self.chosen.sort_unstable();
         self.orders.clear();
     }
@@ -602,7 +609,7 @@
         let (work, runner) = (&self.works[w as usize], &self.runners[r]);
         runner.ready()
             && self.left.get(work.job.category).is_none_or(|left| *left >= 1.0)
-            && self.of_kind(w, r)
+            && self.open_to(w, r)
             && (work.avoid.0 != r || now >= work.avoid.1)
             && !runner.shunned(work.job.category, now)
             && now >= runner.left_until
@@ -787,7 +794,12 @@
         }
     }
 
-    // ---- the rules on effects ----
+    // ---- the rules on placement and on effects ----
+
+    /// A category is sent to no other runners than those it is bound to, whatever becomes of these.
+    pub(crate) fn open_to(&self, w: u32, r: usize) -> bool {
+        self.category(w).placement.admits(&self.runners[r].at)
+    }
 
     fn may_go(&self, w: u32, r: usize, now: f64) -> bool {
         let work = &self.works[w as usize];
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -1,5 +1,5 @@
 //! Reads what is stated at start into the terms that the decisions know; the same for every host.
-use crate::terms::{Category, Repeat, Scope, Terms};
+use crate::terms::{Category, Placement, Repeat, Scope, Terms};
 use std::collections::BTreeMap;
 
 /// What is stated: a path and its value each, lists of plain values joined with commas.
@@ -54,6 +54,17 @@
         }
     }
 
+    /// The places of a comma list's items, which are told as places in another list or by their names there.
+    fn places(&self, path: &str, names: &str, below: usize) -> Result<Vec<usize>, String> {
+        let items = self.text(path).split(',').filter(|item| !item.is_empty());
+        let place = |item: &str| {
+            let named = self.text(names).split(',').position(|name| name == item);
+            let place = item.parse::<usize>().ok().or(named).filter(|place| *place < below);
+            place.ok_or_else(|| format!("setting {path}: '{item}' is not one of {names}"))
+        };
+        items.map(place).collect()
+    }
+
     /// The numbers of a comma list; the one at `place` of `count`, if the list is there at all.
     fn listed(&self, path: &str, place: usize, count: usize) -> Result<Option<f64>, String> {
         let text = self.text(path);
@@ -68,6 +79,28 @@
     }
 }
 
+/// The runners that a category is bound to: by the settings of its own, and by the machine kind that runs it.
+fn placement(info: &Stated, category: usize, count: usize) -> Result<Placement, String> {
+    let path = |leaf: &str| format!("Categories.{category}.{leaf}");
+    let bound_to = info.places(&path("BoundTo"), "Kinds", 1 << 8)?;
+    let zones = info.places(&path("DcsOnly"), "Dcs", 1 << 16)?;
+    let mut kinds: Vec<u8> = bound_to.into_iter().map(|kind| kind as u8).collect();
+    match info.listed("Domain.ClassKind", category, count)? {
+        Some(kind) if !(-1.0..255.0).contains(&kind) || kind.fract() != 0.0 => {
+            return Err(format!("setting Domain.ClassKind: '{kind}' is not a kind"));
+        }
+        Some(kind) if kind >= 0.0 => {
+            let runs_it = kind as u8;
+            if !kinds.is_empty() && !kinds.contains(&runs_it) {
+                return Err(format!("setting {}: it leaves out the kind that runs it", path("BoundTo")));
+            }
+            kinds = vec![runs_it];
+        }
+        _ => {}
+    }
+    Ok(Placement { kinds, zones: zones.into_iter().map(|zone| zone as u16).collect() })
+}
+
 pub fn read_terms(info: &Stated) -> Result<Terms, String> {
     let fields: Vec<&str> = info.text("Report.Fields").split(',').collect();
     let meaning = |name: &str| {
@@ -101,12 +134,7 @@
             tardy: info.number(&path("TardyPayoff"))?,
             repeat,
             window_s: info.seconds(&path("WindowUs"))?,
-            kind: match info.listed("Domain.ClassKind", n, count)? {
-                Some(kind) if !(-1.0..255.0).contains(&kind) || kind.fract() != 0.0 => {
-                    return Err(format!("setting Domain.ClassKind: '{kind}' is not a kind"));
-                }
-                kind => kind.filter(|kind| *kind >= 0.0).map(|kind| kind as u8),
-            },
+            placement: placement(info, n, count)?,
         });
     }
     let retry_after = info.yes("Limits.RetryAfter")?;
@@ -132,6 +160,7 @@
         fall_multiple: info.number("Safety.FallMultiple")?,
         fall_s: info.seconds("Safety.OverloadForUs")?,
         must_ask_s: info.seconds("Safety.MustAskInUs")?,
+        only_draining_binds: info.yes("Safety.DroppedStayOpen")?,
         pays_by_work: info.word("PayoffBasis", &["request", "work"])? == "work",
         start_off_s: info.seconds("Safety.ReadyMarginUs")?,
         expiry_off_s: info.seconds("Safety.BudgetErrorUs")?,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -223,6 +223,15 @@
         (self.part, self.away) = (old.part, old.away);
     }
 
+    /// The list names it as gone, or leaves it out. Where that binds nobody it proves nothing either, and is a
+    /// verdict of the list's like one of our own: a trial shows what is so.
+    pub fn gone(&mut self, now: f64, stays_open: bool) {
+        self.at.ready &= stays_open;
+        if self.at.ready && self.resting.is_none() {
+            self.resting = Some(now);
+        }
+    }
+
     /// The list names it as ready, no operator has taken it out, and its site is there.
     pub fn ready(&self) -> bool {
         self.at.ready && self.out.is_none() && !self.away
@@ -252,8 +261,8 @@
     pub(crate) changed: bool,
     pub(crate) last_pass: f64,
     pub(crate) passes: u64,
-    /// The runners that rank highest for each key met lately, by the kind that its category needs.
-    pub(crate) orders: BTreeMap<(u32, Option<u8>), Ring<usize, NEAR>>,
+    /// The runners that rank highest for each key met lately, and for each category that is bound to some.
+    pub(crate) orders: BTreeMap<(u32, Option<usize>), Ring<usize, NEAR>>,
     pub(crate) works: Vec<Work>,
     pub(crate) free: Vec<u32>,
     pub(crate) held: Vec<u32>,
@@ -673,15 +682,16 @@
 
     /// The runners that rank highest for a key by a hash that all share; kept until other runners are in use.
     pub(crate) fn order(&mut self, w: u32) -> Ring<usize, NEAR> {
-        let (key, kind) = (self.works[w as usize].job.key, self.category(w).kind);
-        if let Some(order) = self.orders.get(&(key, kind)) {
+        let Job { key, category, .. } = self.works[w as usize].job;
+        let bound = Some(category).filter(|_| self.category(w).placement.binds());
+        if let Some(order) = self.orders.get(&(key, bound)) {
             return order.clone();
         }
-        let order = self.highest(key, self.chosen.iter().copied().filter(|&r| self.of_kind(w, r)));
+        let order = self.highest(key, self.chosen.iter().copied().filter(|&r| self.open_to(w, r)));
         if self.orders.len() >= ORDERS {
             self.orders.clear();
         }
-        self.orders.insert((key, kind), order.clone());
+        self.orders.insert((key, bound), order.clone());
         order
     }
 
@@ -729,8 +739,4 @@
             _ => f64::INFINITY,
         }
     }
-
-    pub(crate) fn of_kind(&self, w: u32, r: usize) -> bool {
-        self.category(w).kind.is_none_or(|kind| kind == self.runners[r].at.kind)
-    }
 }
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -26,7 +26,27 @@
     pub tardy: f64,
     pub repeat: Repeat,
     pub window_s: f64,
-    pub kind: Option<u8>,
+    pub placement: Placement,
+}
+
+/// The runners that a category is bound to; any where nothing is named.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    pub kinds: Vec<u8>,
+    pub zones: Vec<u16>,
+}
+
+impl Placement {
+    /// Some runners are shut out.
+    pub fn binds(&self) -> bool {
+        !self.kinds.is_empty() || !self.zones.is_empty()
+    }
+
+    /// A runner is among those named, as far as any are.
+    pub fn admits(&self, runner: &Listed) -> bool {
+        (self.kinds.is_empty() || self.kinds.contains(&runner.kind))
+            && (self.zones.is_empty() || self.zones.contains(&runner.zone))
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -59,6 +79,8 @@
     pub fall_multiple: f64,
     pub fall_s: f64,
     pub must_ask_s: f64,
+    /// Only draining binds: a runner that is gone by the list may still be sent to.
+    pub only_draining_binds: bool,
     /// The payoff is for each unit of work, not for each work item.
     pub pays_by_work: bool,
     /// How much earlier or later than it was a start may be listed; zero where clocks agree.
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -62,7 +62,7 @@
         tardy: 0.2,
         repeat,
         window_s: 3.0,
-        kind: None,
+        placement: Placement::default(),
     };
     Terms {
         replicas: 1,
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -724,7 +724,7 @@
 #[test]
 fn one_unwell_runner_that_is_all_its_kind_has_warm_does_not_starve_the_cold_one() {
     let mut terms = terms();
-    terms.categories[IDEMPOTENT].kind = Some(1);
+    terms.categories[IDEMPOTENT].placement.kinds = vec![1];
     let (mut d, mut host) = start(terms, 6);
     let of_kind = |r: u64, born| (r as usize, Some(Listed { kind: 1, born, ..runner(r) }));
     d.listed(100.0, News::Changes, &[of_kind(0, f64::NEG_INFINITY)]);
