A key's places follow its share of 512 other arrivals, not of 64 with itself among them

One arrival in 64 gave three places of 84 at the least, and each of nine dispatchers prefers another of them.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -39,8 +39,8 @@
 pub const LEAST: f64 = NEAR as f64;
 /// A key has so many times the places that its share of the arrivals fills: room for a crowd at some of them.
 const SPREAD: f64 = 2.0;
-/// That share is taken from so many: the rarest key that fills more than one of sixty runners shows.
-pub const ASKED: usize = 64;
+/// That share is taken from so many: the rarest key that fills more than one of some hundred runners shows.
+pub const ASKED: usize = 512;
 /// A wait is remembered so many times as long as it was: the longer the queue, the longer it takes to drain.
 const REMEMBERED: f64 = 4.0;
 /// A work item's places, where runners must be probed: with three in four slots taken, six all full are rare.
--- a/crates/policy/src/policy/places.rs
+++ b/crates/policy/src/policy/places.rs
@@ -30,9 +30,11 @@
             near = self.highest(key, self.chosen.iter().copied().filter(|&r| fit(self, r)));
         }
         let asked = self.asked.samples();
-        let share = asked.iter().filter(|&&k| k == key).count() as f64 / asked.len().max(1) as f64;
+        // The other arrivals tell: by its own a key met once would have places of its own in a large fleet.
+        let others = asked.iter().filter(|&&k| k == key).count().saturating_sub(1) as f64;
+        let share = others / asked.len().max(1) as f64;
         let work = &mut self.works[w as usize];
-        work.own = (SPREAD * share * self.chosen.len() as f64).ceil() as usize;
+        work.own = ((SPREAD * share * self.chosen.len() as f64).ceil() as usize).max(1);
         (work.near, work.asked) = (near, 0);
         self.best_place(w, now);
     }
