What a fetch takes is measured beside runs that found their key, and counts three times

Cause: the fetch was measured as the run beside the usual run (measured, look); once most work fetches the usual run holds a fetch, the fetch looks free, and work leaves its key's places at the first wait: more fetches, longer waits. Change: typical runs (mean of the quartiles) at warm runners, where the key is neither own nor listed, less those where it is both; as before until a quarter of the samples is there. Three times, since a fetch holds a slot for which others wait. It guards against any load that feeds on its own fetches; it could harm where two in three fetch in both groups.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,6 +57,10 @@
 const PROMPT_S: f64 = 0.1;
 /// So many of the last waits for a start are kept: with fewer, nothing is known of others' work.
 pub const WAITS: usize = 32;
+/// So many of the last runs with a fetch, and without, tell what one takes: sizes spread widely.
+pub const RUNS: usize = 64;
+/// A fetch costs so many times what it takes: it holds a slot for which others wait. 1.5 loses at cardiff.
+const DEAR: f64 = 3.0;
 /// So many of the last outcomes tell how often work fails anywhere: one in sixty shows.
 pub const OUTCOMES: usize = 64;
 /// Silence longer than this is a sign: several times what the word of taking or starting a job takes.
--- a/crates/policy/src/policy/looks.rs
+++ b/crates/policy/src/policy/looks.rs
@@ -6,6 +6,14 @@
         let now = host.now();
         self.mean_run = self.usual.iter().sum::<f64>() / self.usual.len().max(1) as f64;
         self.fetch_s = self.fetches.mean().unwrap_or(0.0).max(0.0);
+        // Guards against fetches that look free once most work fetches: the usual run then holds one itself.
+        // The mean of the quartiles, since a few large runs outweigh a fetch in a mean.
+        let typical = |runs: &Ring<f64, RUNS>| {
+            [0.25, 0.5, 0.75].iter().filter_map(|part| runs.quantile(*part)).sum::<f64>() / 3.0
+        };
+        let known = self.near_runs.samples().len().min(self.far_runs.samples().len()) >= RUNS / 4;
+        let longer = typical(&self.far_runs) - typical(&self.near_runs);
+        self.far_s = DEAR * if known { longer.max(0.0) } else { self.fetch_s };
         self.fresh_s = FRESH * self.mean_run;
         // Guards against a wait that is over shutting work out, none of which then starts and tells.
         let lately = self.waits.samples().iter().filter(|(_, at)| now < at + 5.0);
--- a/crates/policy/src/policy/passes.rs
+++ b/crates/policy/src/policy/passes.rs
@@ -111,8 +111,8 @@
         let w = self.held.remove(place);
         let size = self.cold_size(&self.works[w as usize].job);
         let Work { job, own, ref near, .. } = self.works[w as usize];
-        let fetches = !near.samples()[..own.min(near.samples().len())].contains(&r)
-            && !self.runners[r].holds(job.key, now);
+        let own = near.samples()[..own.min(near.samples().len())].contains(&r);
+        let fetches = Some(!own).filter(|_| own == self.runners[r].holds(job.key, now));
         let runner = &mut self.runners[r];
         let work = &mut self.works[w as usize];
         self.left.get_mut(job.category).into_iter().for_each(|left| *left -= 1.0);
--- a/crates/policy/src/policy/places.rs
+++ b/crates/policy/src/policy/places.rs
@@ -48,8 +48,7 @@
         let size = self.cold_size(&job);
         let takes = |r: usize| self.usable(w, r, now) && size <= self.cold_left(r, now);
         let cost = |n: usize, r: usize| {
-            let fetch_s =
-                if n < work.own || self.runners[r].holds(job.key, now) { 0.0 } else { self.fetch_s };
+            let fetch_s = if n < work.own || self.runners[r].holds(job.key, now) { 0.0 } else { self.far_s };
             self.wait_at(r, now) + self.load_at(r, now) + fetch_s
         };
         let able = near.iter().enumerate().filter(|(_, r)| !self.terms.probes && takes(**r));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of each work item, attempt and runner.
 use crate::pcg::{draw, Pcg};
-use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, LEAST, NEAR, OUTCOMES, REST_S, WAITS};
+use crate::policy::{ASKED, CAP_START, KEYS, KEY_AGE_S, LEAST, NEAR, OUTCOMES, REST_S, RUNS, WAITS};
 use crate::ring::Ring;
 use crate::terms::*;
 use crate::WorkItem;
@@ -17,12 +17,12 @@
     pub doubts: u32,
     pub cancelled: bool,
     pub at_cap: bool,
-    /// Its runner was not known to hold the key.
-    pub fetches: bool,
+    /// Whether its key is not there, where both signs agree: a place of the key, and served there lately.
+    pub fetches: Option<bool>,
 }
 
 impl Attempt {
-    pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool, fetches: bool) -> Self {
+    pub fn new(runner: usize, no: u16, sent: f64, at_cap: bool, fetches: Option<bool>) -> Self {
         Attempt {
             runner,
             no,
@@ -282,10 +282,15 @@
     pub(crate) ratios: Ring<f64, 64>,
     /// How much longer than expected work took where its key was not held.
     pub(crate) fetches: Ring<f64, 32>,
+    /// How long work ran at warm runners where its key was, and where it was not.
+    pub(crate) near_runs: Ring<f64, RUNS>,
+    pub(crate) far_runs: Ring<f64, RUNS>,
     /// The keys asked for last, and how much of ours was running at the last looks.
     pub(crate) asked: Ring<u32, ASKED>,
     pub(crate) busy: Ring<f64, 256>,
+    /// What a fetch adds to the expected run; what going where a key is not costs, beside a wait.
     pub(crate) fetch_s: f64,
+    pub(crate) far_s: f64,
     pub(crate) mean_run: f64,
     /// How long the fleet takes beside what is expected; the median of the last, never under 1.
     pub(crate) pace: f64,
@@ -351,10 +356,13 @@
             chosen: Vec::new(),
             wanted: LEAST,
             ratios: Ring::default(),
+            near_runs: Ring::default(),
+            far_runs: Ring::default(),
             fetches: Ring::default(),
             asked: Ring::default(),
             busy: Ring::default(),
             fetch_s: 0.0,
+            far_s: 0.0,
             mean_run: 0.0,
             pace: 1.0,
             crowded_at: f64::NEG_INFINITY,
@@ -614,19 +622,28 @@
         *evidence = (*evidence - 0.5).max(0.0);
         self.runs[job.category].push(run);
         self.usual[job.category] = self.runs[job.category].mean().unwrap_or(run);
-        if attempt.sent >= self.runners[attempt.runner].born() + self.terms.cold_s {
+        let warm = attempt.sent >= self.runners[attempt.runner].born() + self.terms.cold_s;
+        if warm {
             self.warm_runs[job.category].push(run);
         }
-        let warm = self.warm_runs[job.category].mean();
-        self.warm[job.category] = warm.map_or(1.0, |warm| warm / self.usual[job.category].max(1e-3));
+        let usual = self.warm_runs[job.category].mean();
+        self.warm[job.category] = usual.map_or(1.0, |warm| warm / self.usual[job.category].max(1e-3));
         if job.hint > 0.0 {
             self.hints[job.category].push(job.hint);
             self.hinted[job.category] =
                 self.usual[job.category] / self.hints[job.category].mean().unwrap_or(run);
         }
         self.ratios.push(run / expected);
-        if attempt.fetches && job.key != 0 {
-            self.fetches.push(run - expected);
+        match attempt.fetches {
+            _ if job.key == 0 => {}
+            Some(true) => {
+                self.fetches.push(run - expected);
+                if warm {
+                    self.far_runs.push(run);
+                }
+            }
+            Some(false) if warm => self.near_runs.push(run),
+            _ => {}
         }
     }
 
@@ -677,7 +694,7 @@
         let work = &self.works[w as usize];
         // A holder where work waits longer than a fetch takes is none.
         let listed = || work.holders.samples().contains(&r);
-        work.home == r || listed() && (self.terms.probes || self.wait_at(r, self.last_pass) <= self.fetch_s)
+        work.home == r || listed() && (self.terms.probes || self.wait_at(r, self.last_pass) <= self.far_s)
     }
 
     /// The runners that rank highest for a key by a hash that all share; kept until other runners are in use.
