Where a fetch is priced no lower than crossing, all runners are used

Each dispatcher used 48 runners of its own choice, so a key's order began elsewhere for each. It could harm where many dispatchers have little work each: a runner's illness is then heard of late.

--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -138,6 +138,7 @@
         });
     }
     let retry_after = info.yes("Limits.RetryAfter")?;
+    let (crossing, fetch) = (info.number("Penalties.CrossZone")?, info.number("Penalties.Origin")?);
     Ok(Terms {
         replicas: info.count("ReplicasOfMe")?.max(1),
         me: info.count("Me")?,
@@ -148,7 +149,8 @@
         free_memory_at: meaning("free_memory"),
         busy_at: fields.iter().position(|f| *f == "queue").or(fields.iter().position(|f| *f == "util")),
         zone: info.count("Zone")? as u16,
-        keeps_zone: info.number("Penalties.CrossZone")? > info.number("Penalties.Origin")?,
+        keeps_zone: crossing > fetch,
+        fetch_is_dear: fetch > 0.0 && fetch >= crossing,
         tells_taking: false,
         tells_start: info.yes("Domain.TellsStart")?,
         progress_s: info.seconds("Domain.ProgressUs")?,
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -155,3 +155,18 @@
     let sent = all_sent_to(&mut d, &mut host, UNBOUND, Outcome::Finished);
     assert!(sent.iter().all(|r| *r >= 2), "{sent:?}");
 }
+
+#[test]
+fn where_a_fetch_is_dear_all_dispatchers_bring_a_key_to_the_same_runner_of_many() {
+    let homes = |fetch: &str| {
+        let prices = [("ReplicasOfMe", "30"), ("Penalties.CrossZone", "0.02"), ("Penalties.Origin", fetch)];
+        let home = |me: usize| {
+            let (mut d, mut host) = start(Terms { me, ..told(&prices).unwrap() }, 100);
+            let work_item = host.take(&mut d, UNBOUND, 42);
+            host.sent_to(work_item)[0]
+        };
+        (0..30).map(home).collect::<std::collections::BTreeSet<usize>>().len()
+    };
+    assert_eq!(homes("0.1"), 1);
+    assert!(homes("0") > 1, "each has its own few");
+}
