--- a/crates/policy/src/policy/places.rs
+++ b/crates/policy/src/policy/places.rs
@@ -2,17 +2,12 @@
 use super::*;
 
 impl Dispatcher {
-    /// Two in the own zone first where crossing is dearer than a fetch, then elsewhere: neither is all.
+    /// The first in a key's order.
     pub(crate) fn highest(&self, key: u32, among: impl Iterator<Item = usize>) -> Ring<usize, NEAR> {
-        let all = among.map(|r| (std::cmp::Reverse(self.liking(key, r)), r));
-        let (mut close, mut far): (Vec<_>, Vec<_>) = all.partition(|(liking, _)| liking.0 .0);
-        close.sort_unstable();
-        far.sort_unstable();
-        let (close, rest) = close.split_at(close.len().min(PLACES / 2));
-        let (first, last) = far.split_at(far.len().min(NEAR / 2));
+        let mut all: Vec<_> = among.map(|r| (std::cmp::Reverse(self.liking(key, r)), r)).collect();
+        all.sort_unstable();
         let mut order = Ring::default();
-        let all = [close, first, rest, last].into_iter().flatten();
-        all.take(NEAR).for_each(|&(_, r)| order.push(r));
+        all.iter().take(NEAR).for_each(|&(_, r)| order.push(r));
         order
     }
 
@@ -78,10 +73,14 @@
         LOAD * self.mean_run * runner.mine / runner.most.max(CAP_START) + free
     }
 
-    /// Who is liked better for a key: in the own zone where crossing is dearer than a fetch, then by hash.
-    pub(super) fn liking(&self, key: u32, r: usize) -> (bool, u64) {
+    /// Who is liked better for a key: by a hash that all share, whatever the zone. Guards against a copy of each
+    /// key in each zone, where runners keep few.
+    pub(super) fn liking(&self, key: u32, r: usize) -> u64 {
         let runner = &self.runners[r];
-        let near = self.terms.keeps_zone && runner.at.zone == self.terms.zone;
-        (near, if key == 0 { runner.rank } else { draw(key as u64, runner.at.id) })
+        if key == 0 {
+            runner.rank
+        } else {
+            draw(key as u64, runner.at.id)
+        }
     }
 }
--- a/crates/policy/src/reading.rs
+++ b/crates/policy/src/reading.rs
@@ -149,7 +149,6 @@
         free_memory_at: meaning("free_memory"),
         busy_at: fields.iter().position(|f| *f == "queue").or(fields.iter().position(|f| *f == "util")),
         zone: info.count("Zone")? as u16,
-        keeps_zone: crossing > fetch,
         fetch_is_dear: fetch > 0.0 && fetch >= crossing,
         tells_taking: false,
         tells_start: info.yes("Domain.TellsStart")?,
--- a/crates/policy/src/terms.rs
+++ b/crates/policy/src/terms.rs
@@ -64,8 +64,6 @@
     pub free_memory_at: Option<usize>,
     pub busy_at: Option<usize>,
     pub zone: u16,
-    /// What crosses zones costs more than a fetch does.
-    pub keeps_zone: bool,
     /// A fetch has a price, and crossing zones none higher.
     pub fetch_is_dear: bool,
     /// Runners say at once that they take an attempt, apart from its start.
