sagetrail-scale: hollow workers beside real processes, under a load drawn ahead of time

Change: crate scale with hollow runners beside real agents on the daemon's own loop and transport, real core, frontend and, where wanted, side processes on loopback, an open-loop load from a TOML scenario, faults on a timeline, HDR histograms, JSON, CSV and one page of HTML.

--- /dev/null
+++ b/crates/scale/src/arguments.rs
@@ -0,0 +1,23 @@
+//! The command line.
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Plays a scale run: hollow runners and agents beside real core and frontend processes on loopback.
+#[derive(FromArgs, Debug)]
+pub struct Arguments {
+    /// the scenario file (TOML)
+    #[argh(positional)]
+    pub scenario: PathBuf,
+    /// folder for results (default: target/scale)
+    #[argh(option, default = "PathBuf::from(\"target/scale\")")]
+    pub results: PathBuf,
+    /// folder of the programs sagetrail-core, sagetrail-frontend and sagetrail-side (default: this program's own)
+    #[argh(option)]
+    pub programs: Option<PathBuf>,
+    /// number of workers instead of the scenario's; rates go with it
+    #[argh(option)]
+    pub workers: Option<u32>,
+    /// seed instead of the scenario's
+    #[argh(option)]
+    pub seed: Option<u64>,
+}
--- /dev/null
+++ b/crates/scale/src/board.rs
@@ -0,0 +1,196 @@
+//! What hollow runners and the load tell each other: when jobs were due, when their tasks began and ended.
+use crate::timings::{Timing, Timings};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Instant;
+use tokio::sync::mpsc;
+
+/// Counts of a run.
+#[derive(Default)]
+pub struct Counts {
+    pub starts: AtomicU64,
+    pub ends: AtomicU64,
+    pub other_ends: AtomicU64,
+    /// Starts of a task that was running elsewhere.
+    pub double_starts: AtomicU64,
+    pub heartbeats: AtomicU64,
+    pub failed_heartbeats: AtomicU64,
+    pub reports: AtomicU64,
+    pub accepted: AtomicU64,
+    pub refused: AtomicU64,
+    pub running: AtomicU64,
+}
+
+impl Counts {
+    /// Adds one.
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// A job as the load knows it.
+pub struct JobFacts {
+    /// When it was to be submitted, by the plan.
+    pub due: Instant,
+    pub shape: String,
+    pub measured: bool,
+    /// Ends still to come.
+    pub left: u32,
+    pub started: bool,
+}
+
+/// A gang's run: how many members are there, and since when all are.
+#[derive(Clone, Copy, Default)]
+struct Gathering {
+    present: u32,
+    whole_since: Option<Instant>,
+}
+
+/// When a term was heard of by runners.
+#[derive(Clone, Copy, Debug)]
+pub struct TermSeen {
+    pub first: Instant,
+    pub last: Instant,
+    pub runners: u64,
+}
+
+#[derive(Default)]
+struct State {
+    jobs: HashMap<u64, JobFacts>,
+    running: HashMap<String, u64>,
+    gangs: HashMap<String, Gathering>,
+    terms: BTreeMap<u64, TermSeen>,
+    first_start_after: BTreeMap<u64, Instant>,
+}
+
+/// The shared board.
+pub struct Board {
+    pub counts: Counts,
+    pub timings: Timings,
+    state: Mutex<State>,
+    over: mpsc::UnboundedSender<OverJob>,
+}
+
+/// All tasks of a job have ended.
+pub struct OverJob {
+    pub id: u64,
+    pub at: Instant,
+    pub shape: String,
+    pub measured: bool,
+}
+
+impl Board {
+    /// An empty board; jobs whose tasks have all ended come by the channel.
+    pub fn new() -> (Board, mpsc::UnboundedReceiver<OverJob>) {
+        let (over, receiver) = mpsc::unbounded_channel();
+        let board =
+            Board { counts: Counts::default(), timings: Timings::default(), state: Mutex::default(), over };
+        (board, receiver)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// A job is about to be submitted.
+    pub fn expect(&self, id: u64, facts: JobFacts) {
+        self.lock().jobs.insert(id, facts);
+    }
+
+    /// A runner has started a task.
+    pub fn started(&self, task: &str, attempt: u64, term: u64) {
+        Counts::add(&self.counts.starts);
+        Counts::add(&self.counts.running);
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.first_start_after.entry(term).or_insert(now);
+        if state.running.insert(task.to_owned(), attempt).is_some() {
+            Counts::add(&self.counts.double_starts);
+        }
+        let Some(job) = job_of(task).and_then(|id| state.jobs.get_mut(&id)) else { return };
+        if !std::mem::replace(&mut job.started, true) && job.measured {
+            self.timings.record(Timing::SubmitToFirstStart, &job.shape, now - job.due);
+        }
+    }
+
+    /// A run has ended; `done` where its work was done.
+    pub fn ended(&self, task: &str, attempt: u64, done: bool) {
+        self.counts.running.fetch_sub(1, Ordering::Relaxed);
+        Counts::add(if done { &self.counts.ends } else { &self.counts.other_ends });
+        let mut state = self.lock();
+        if state.running.get(task) == Some(&attempt) {
+            state.running.remove(task);
+        }
+        if !done {
+            return;
+        }
+        let Some(id) = job_of(task) else { return };
+        let Some(job) = state.jobs.get_mut(&id) else { return };
+        job.left = job.left.saturating_sub(1);
+        if job.left == 0 {
+            let job = state.jobs.remove(&id).expect("looked at");
+            let over = OverJob { id, at: Instant::now(), shape: job.shape, measured: job.measured };
+            // An error: the run is over.
+            let _ = self.over.send(over);
+        }
+    }
+
+    /// A member of a gang is there.
+    pub fn joined(&self, run: &str, members: u32) {
+        let mut state = self.lock();
+        let gathering = state.gangs.entry(run.to_owned()).or_default();
+        gathering.present += 1;
+        if gathering.present >= members {
+            gathering.whole_since = Some(Instant::now());
+        }
+    }
+
+    /// Since when all members are there.
+    pub fn whole_since(&self, run: &str) -> Option<Instant> {
+        self.lock().gangs.get(run).and_then(|gathering| gathering.whole_since)
+    }
+
+    /// A runner hears of a term for the first time.
+    pub fn heard_of_term(&self, term: u64) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let seen = state.terms.entry(term).or_insert(TermSeen { first: now, last: now, runners: 0 });
+        seen.last = now;
+        seen.runners += 1;
+    }
+
+    /// How many runners have heard of the newest term.
+    pub fn newest_term_runners(&self) -> u64 {
+        self.lock().terms.values().next_back().map_or(0, |seen| seen.runners)
+    }
+
+    /// The first term that runners heard of after an instant.
+    pub fn term_after(&self, instant: Instant) -> Option<TermSeen> {
+        self.lock().terms.values().find(|seen| seen.first > instant).copied()
+    }
+
+    /// The first start under a term that began after an instant.
+    pub fn start_after(&self, instant: Instant) -> Option<Instant> {
+        let state = self.lock();
+        let term = state.terms.iter().find(|(_, seen)| seen.first > instant).map(|(&term, _)| term)?;
+        state.first_start_after.get(&term).copied()
+    }
+
+    /// Jobs that were submitted and whose tasks have not all ended.
+    pub fn open_jobs(&self) -> usize {
+        self.lock().jobs.len()
+    }
+}
+
+/// The job in a task's name (`ID.K.STEP.INDEX`).
+fn job_of(task: &str) -> Option<u64> {
+    let (id, _) = task.split_once('.')?;
+    u64::from_str_radix(id, 16).ok()
+}
+
+/// The run of a gang in a task's name and attempt.
+pub fn gang_run(task: &str, attempt: u64) -> String {
+    let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
+    format!("{step} {attempt}")
+}
--- /dev/null
+++ b/crates/scale/src/faults.rs
@@ -0,0 +1,93 @@
+//! Troubles at their times, and how long it took until a scheduler was at work again.
+use crate::board::Board;
+use crate::cluster::Cluster;
+use crate::scenario::{Fault, FaultKind, FaultTarget};
+use nix::sys::signal::Signal;
+use serde::Serialize;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a fault led to. Times in milliseconds from the fault.
+#[derive(Serialize, Clone, Debug)]
+pub struct Takeover {
+    pub kind: FaultKind,
+    pub target: FaultTarget,
+    pub at_s: f64,
+    /// The first runner heard of a new term.
+    pub first_runner_ms: Option<f64>,
+    /// The last runner did.
+    pub last_runner_ms: Option<f64>,
+    pub runners: u64,
+    /// The first task was started under the new term.
+    pub first_start_ms: Option<f64>,
+}
+
+/// A fault that was played.
+pub struct Played {
+    fault: Fault,
+    at: Instant,
+}
+
+/// Plays all faults; `measured_from` is where their times count from.
+pub async fn play(
+    faults: Vec<Fault>, cluster: Arc<Mutex<Cluster>>, measured_from: Instant,
+) -> anyhow::Result<Vec<Played>> {
+    let mut played = Vec::new();
+    for fault in faults {
+        tokio::time::sleep_until((measured_from + Duration::from_secs_f64(fault.at_s)).into()).await;
+        let at = Instant::now();
+        let places = begin(&fault, &cluster);
+        tokio::time::sleep(Duration::from_secs_f64(fault.for_s)).await;
+        finish(&fault, &cluster, &places)?;
+        played.push(Played { fault, at });
+    }
+    Ok(played)
+}
+
+fn begin(fault: &Fault, cluster: &Mutex<Cluster>) -> Vec<usize> {
+    let mut cluster = cluster.lock().expect("no holder panics");
+    let places = targets(fault.target, &cluster);
+    for &place in &places {
+        match fault.kind {
+            FaultKind::Kill => cluster.cores[place].kill(),
+            FaultKind::Freeze => cluster.cores[place].signal(Signal::SIGSTOP),
+        }
+    }
+    places
+}
+
+fn finish(fault: &Fault, cluster: &Mutex<Cluster>, places: &[usize]) -> anyhow::Result<()> {
+    let mut cluster = cluster.lock().expect("no holder panics");
+    for &place in places {
+        match fault.kind {
+            FaultKind::Kill => cluster.cores[place].restart()?,
+            FaultKind::Freeze => cluster.cores[place].signal(Signal::SIGCONT),
+        }
+    }
+    Ok(())
+}
+
+fn targets(target: FaultTarget, cluster: &Cluster) -> Vec<usize> {
+    let scheduler = cluster.scheduler();
+    let others = (0..cluster.cores.len()).filter(|place| Some(*place) != scheduler);
+    match target {
+        FaultTarget::Scheduler => scheduler.into_iter().collect(),
+        FaultTarget::Replica => others.take(1).collect(),
+        FaultTarget::All => (0..cluster.cores.len()).collect(),
+    }
+}
+
+/// What a played fault led to, by what runners saw.
+pub fn takeover(played: &Played, board: &Board) -> Takeover {
+    let since = |instant: Instant| (instant - played.at).as_secs_f64() * 1_000.0;
+    let term = board.term_after(played.at);
+    Takeover {
+        kind: played.fault.kind,
+        target: played.fault.target,
+        at_s: played.fault.at_s,
+        first_runner_ms: term.map(|seen| since(seen.first)),
+        last_runner_ms: term.map(|seen| since(seen.last)),
+        runners: term.map_or(0, |seen| seen.runners),
+        first_start_ms: board.start_after(played.at).map(since),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/agent.rs
@@ -0,0 +1,53 @@
+//! A real agent in this process, driven by the daemon's own loop and transport.
+use crate::board::Board;
+use sagetrail_agent::{AgentNode, AgentSettings};
+use sagetrail_daemon::clocks::Clocks;
+use sagetrail_daemon::input::Inputs;
+use sagetrail_daemon::phase::phases;
+use sagetrail_daemon::process::{Parts, Process};
+use sagetrail_daemon::transport::Transport;
+use sagetrail_wire::node::{Event, Node, Now, Outbox};
+use sagetrail_wire::Time;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// An agent that is told to end does so within this.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// An agent whose reports are counted for all.
+struct CountedAgent {
+    agent: AgentNode,
+    board: Arc<Board>,
+    reports: u64,
+}
+
+impl Node for CountedAgent {
+    fn handle(&mut self, now: Now, event: Event, outbox: &mut Outbox) {
+        self.agent.handle(now, event, outbox);
+        let reports = self.agent.counters().reports;
+        self.board.counts.reports.fetch_add(reports - self.reports, Ordering::Relaxed);
+        self.reports = reports;
+    }
+
+    fn next_wake(&self) -> Option<Time> {
+        self.agent.next_wake()
+    }
+}
+
+/// Starts an agent on the current thread; where its events go.
+pub fn start(settings: AgentSettings, board: Arc<Board>) -> std::io::Result<Inputs> {
+    let (sender, inputs) = mpsc::unbounded_channel();
+    let transport = Transport::start(settings.node, settings.incarnation, sender.clone())?;
+    let clocks = Clocks::start();
+    let (phase, _) = phases();
+    let node = settings.node;
+    let parts = Parts { node, clocks, inputs, transport, disk: None, phase, grace: GRACE };
+    let mut outbox = Outbox::default();
+    let agent = AgentNode::new(settings, clocks.now(), &mut outbox);
+    let counted = CountedAgent { agent, board, reports: 0 };
+    let mut process = Process::new(Box::new(counted), outbox, parts);
+    tokio::task::spawn_local(async move { process.run().await });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/scale/src/hollow/runner.rs
@@ -0,0 +1,220 @@
+//! A hollow runner: takes starts and stops, lets time pass instead of working, tells of it in heartbeats.
+use super::document::{Capacity, Heartbeat, Orders};
+use crate::board::{gang_run, Board};
+use crate::plan::TaskText;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// After an end the next heartbeat goes out so soon.
+const AFTER_END: Duration = Duration::from_millis(50);
+/// A member of a gang waits so long for the others.
+const GANG_PATIENCE: Duration = Duration::from_millis(3_000);
+const VERSION: &str = "v1";
+const SLOTS: u32 = 8;
+const WHOLE_PERCENT: u128 = 100;
+
+/// What a runner is.
+#[derive(Clone, Debug)]
+pub struct RunnerProfile {
+    pub instance: String,
+    pub service: String,
+    pub address: String,
+    pub capacity: Capacity,
+    pub labels: Vec<String>,
+    /// It sends a heartbeat this often, unless told otherwise.
+    pub heartbeat: Duration,
+}
+
+/// A run that is active.
+struct Run {
+    task: String,
+    attempt: u64,
+    text: TaskText,
+    arrived: Instant,
+    /// Its work began; `None` for a member of a gang that waits.
+    begun: Option<Instant>,
+}
+
+/// A run that is over and not observed.
+struct End {
+    number: u64,
+    task: String,
+    attempt: u64,
+    how: &'static str,
+}
+
+/// The runner's state.
+pub struct HollowRunner {
+    profile: RunnerProfile,
+    board: Arc<Board>,
+    started: Instant,
+    sequence: u64,
+    active: Vec<Run>,
+    finished: Vec<End>,
+    ends: u64,
+    fence: u64,
+    held_until: Instant,
+    highest_attempt: HashMap<String, u64>,
+    next_heartbeat: Instant,
+}
+
+impl HollowRunner {
+    /// A runner that has just started.
+    pub fn new(profile: RunnerProfile, board: Arc<Board>, now: Instant) -> HollowRunner {
+        HollowRunner {
+            profile,
+            board,
+            started: now,
+            sequence: 0,
+            active: Vec::new(),
+            finished: Vec::new(),
+            ends: 0,
+            fence: 0,
+            held_until: now,
+            highest_attempt: HashMap::new(),
+            next_heartbeat: now,
+        }
+    }
+
+    /// The path of its heartbeats.
+    pub fn path(&self) -> String {
+        format!("/v1/instances/{}/heartbeat", self.profile.instance)
+    }
+
+    /// When something is due: a heartbeat, or an end.
+    pub fn due(&self) -> Instant {
+        let ends = self.active.iter().filter_map(|run| run.ends_at());
+        ends.map(|end| end + AFTER_END).chain([self.next_heartbeat]).min().unwrap_or(self.next_heartbeat)
+    }
+
+    /// Lets time pass up to now, and writes a heartbeat.
+    pub fn heartbeat(&mut self, now: Instant) -> Vec<u8> {
+        self.pass(now);
+        self.sequence += 1;
+        self.next_heartbeat = now + self.profile.heartbeat;
+        let active = self.active.iter().map(|run| (&*run.task, run.attempt, "", run.percent(now)));
+        let finished = self.finished.iter().map(|end| (end.number, &*end.task, end.attempt, end.how, ""));
+        let heartbeat = Heartbeat {
+            service: &self.profile.service,
+            address: &self.profile.address,
+            zone: "loopback",
+            version: VERSION,
+            slots: SLOTS,
+            state: "ready",
+            cold_remaining_ms: 0,
+            capacity: self.profile.capacity,
+            labels: &self.profile.labels,
+            clock_ms: (now - self.started).as_millis() as u64,
+            seq: self.sequence,
+            active: active.collect(),
+            finished: finished.collect(),
+        };
+        serde_json::to_vec(&heartbeat).expect("plain values")
+    }
+
+    /// Takes the answer to a heartbeat sent at `sent`.
+    pub fn obey(&mut self, sent: Instant, now: Instant, orders: Orders) {
+        if orders.fence_token < self.fence {
+            return;
+        }
+        if orders.fence_token > self.fence {
+            self.fence = orders.fence_token;
+            self.board.heard_of_term(self.fence);
+        }
+        self.finished.retain(|end| end.number > orders.observed);
+        for (task, attempt) in orders.stop {
+            self.stop(&task, attempt);
+        }
+        if let Some(hold_ms) = orders.hold_ms {
+            self.held_until = self.held_until.max(sent + Duration::from_millis(hold_ms));
+            for (task, attempt, spec, _) in orders.start {
+                self.start(now, task, attempt, &spec);
+            }
+        }
+        if let Some(retry_ms) = orders.retry_after_ms {
+            self.next_heartbeat = now + Duration::from_millis(retry_ms);
+        }
+    }
+
+    /// Runs whose time has come end; where no hold lasts, all do.
+    fn pass(&mut self, now: Instant) {
+        if now > self.held_until {
+            let lapsed = std::mem::take(&mut self.active);
+            lapsed.into_iter().for_each(|run| self.end(run, "lapsed"));
+        }
+        for mut run in std::mem::take(&mut self.active) {
+            run.begin(&self.board);
+            match run.how_it_ends(now) {
+                Some(how) => self.end(run, how),
+                None => self.active.push(run),
+            }
+        }
+    }
+
+    fn start(&mut self, now: Instant, task: String, attempt: u64, spec: &str) {
+        let highest = self.highest_attempt.entry(task.clone()).or_default();
+        if *highest >= attempt {
+            return;
+        }
+        *highest = attempt;
+        let Some(text) = TaskText::read(spec) else { return };
+        self.board.started(&task, attempt, self.fence);
+        if text.gang > 0 {
+            self.board.joined(&gang_run(&task, attempt), text.gang);
+        }
+        let mut run = Run { task, attempt, text, arrived: now, begun: None };
+        if text.gang == 0 {
+            run.begun = Some(now);
+        }
+        self.active.push(run);
+    }
+
+    fn stop(&mut self, task: &str, attempt: u64) {
+        let place = self.active.iter().position(|run| run.task == task && run.attempt == attempt);
+        if let Some(place) = place {
+            let run = self.active.swap_remove(place);
+            self.end(run, "stopped");
+        }
+    }
+
+    fn end(&mut self, run: Run, how: &'static str) {
+        self.board.ended(&run.task, run.attempt, how == "done");
+        if how == "done" {
+            self.highest_attempt.remove(&run.task);
+        }
+        self.ends += 1;
+        self.finished.push(End { number: self.ends, task: run.task, attempt: run.attempt, how });
+    }
+
+    /// Runs that are active.
+    pub fn active(&self) -> usize {
+        self.active.len()
+    }
+}
+
+impl Run {
+    /// A member of a gang begins once all are there.
+    fn begin(&mut self, board: &Board) {
+        if self.begun.is_none() {
+            self.begun = board.whole_since(&gang_run(&self.task, self.attempt));
+        }
+    }
+
+    fn ends_at(&self) -> Option<Instant> {
+        self.begun.map(|begun| begun + Duration::from_millis(self.text.work_ms))
+    }
+
+    fn how_it_ends(&self, now: Instant) -> Option<&'static str> {
+        match self.ends_at() {
+            Some(end) => (now >= end).then_some("done"),
+            None => (now >= self.arrived + GANG_PATIENCE).then_some("alone"),
+        }
+    }
+
+    fn percent(&self, now: Instant) -> u8 {
+        let passed = self.begun.map_or(Duration::ZERO, |begun| now.saturating_duration_since(begun));
+        let percent = passed.as_millis() * WHOLE_PERCENT / u128::from(self.text.work_ms.max(1));
+        percent.min(WHOLE_PERCENT) as u8
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/threads.rs
@@ -0,0 +1,115 @@
+//! The threads that carry hollow workers, and their start and end.
+use super::agent::start;
+use super::document::Capacity;
+use super::door::AgentDoor;
+use super::runner::{HollowRunner, RunnerProfile};
+use super::worker::work;
+use crate::board::Board;
+use crate::call::Caller;
+use crate::operator::SERVICE;
+use crate::places::Places;
+use crate::scenario::Scenario;
+use sagetrail_agent::AgentSettings;
+use sagetrail_wire::bounds::Bounds;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+/// A worker starts so long after the one before it on the same thread, so that heartbeats are spread.
+const START_GAP: Duration = Duration::from_micros(700);
+
+/// What hollow workers are started with.
+#[derive(Clone)]
+pub struct HollowSettings {
+    pub scenario: Arc<Scenario>,
+    pub places: Places,
+    pub board: Arc<Board>,
+}
+
+/// All hollow workers.
+pub struct HollowFleet {
+    over: watch::Sender<bool>,
+    threads: Vec<JoinHandle<anyhow::Result<()>>>,
+}
+
+impl HollowFleet {
+    /// Starts the threads and their workers.
+    pub fn start(settings: &HollowSettings) -> HollowFleet {
+        let (over, watch) = watch::channel(false);
+        let threads = (0..settings.scenario.hollow_threads).map(|number| {
+            let (settings, watch) = (settings.clone(), watch.clone());
+            std::thread::spawn(move || carry(&settings, number, watch))
+        });
+        HollowFleet { threads: threads.collect(), over }
+    }
+
+    /// Ends all workers; an error where one could not be started.
+    pub fn end(self) -> anyhow::Result<()> {
+        self.over.send_replace(true);
+        for thread in self.threads {
+            thread.join().map_err(|_| anyhow::anyhow!("a thread of hollow workers has failed"))??;
+        }
+        Ok(())
+    }
+}
+
+fn carry(settings: &HollowSettings, thread: u32, over: watch::Receiver<bool>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let result = runtime.block_on(local.run_until(start_all(settings, thread, over)));
+    runtime.shutdown_background();
+    result
+}
+
+async fn start_all(
+    settings: &HollowSettings, thread: u32, mut over: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    let scenario = &settings.scenario;
+    let caller = Caller::default();
+    for number in (thread..scenario.workers).step_by(scenario.hollow_threads as usize) {
+        let door = door(settings, number, &caller)?;
+        let runner = HollowRunner::new(profile(settings, number), settings.board.clone(), Instant::now());
+        tokio::task::spawn_local(work(runner, door, settings.board.clone(), over.clone()));
+        tokio::time::sleep(START_GAP).await;
+    }
+    // An error: the run is over.
+    let _ = over.wait_for(|over| *over).await;
+    Ok(())
+}
+
+fn door(settings: &HollowSettings, number: u32, caller: &Caller) -> anyhow::Result<AgentDoor> {
+    let ip = settings.places.worker_ip(number);
+    if settings.scenario.real_sides {
+        return Ok(AgentDoor::Http { caller: caller.clone(), address: Places::control(ip) });
+    }
+    let inputs = start(agent_settings(settings, number), settings.board.clone())?;
+    Ok(AgentDoor::Direct { inputs, last_request: 0 })
+}
+
+fn agent_settings(settings: &HollowSettings, number: u32) -> AgentSettings {
+    let scenario = &settings.scenario;
+    let seeds = (0..scenario.cores).map(|core| settings.places.core_node(core)).collect();
+    AgentSettings {
+        node: settings.places.agent_node(number),
+        incarnation: u64::from(number) + 1,
+        seeds,
+        bounds: Bounds::default(),
+        heartbeat_ms: scenario.heartbeat_ms,
+        seed: scenario.seed.wrapping_add(u64::from(number)),
+    }
+}
+
+fn profile(settings: &HollowSettings, number: u32) -> RunnerProfile {
+    let shape = &settings.scenario.worker;
+    let rack = number / shape.workers_a_rack;
+    RunnerProfile {
+        instance: format!("i-{number:08x}"),
+        service: SERVICE.to_owned(),
+        address: format!("{}:8080", settings.places.worker_ip(number)),
+        capacity: Capacity { cpu: shape.cpu, mem_mb: shape.mem_mb, gpu: shape.gpu },
+        labels: vec!["a".to_owned(), format!("rack-{rack}")],
+        heartbeat: Duration::from_millis(settings.scenario.heartbeat_ms),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,23 @@
+//! Scale runs: hollow runners with hollow agents, many to a process, beside real core and frontend processes on
+//! loopback, under a load that is drawn ahead of time. What is real and what is hollow is told apart throughout.
+pub mod arguments;
+pub mod board;
+pub mod call;
+pub mod cluster;
+pub mod faults;
+pub mod hollow;
+pub mod load;
+pub mod machine;
+pub mod operator;
+pub mod page;
+pub mod places;
+pub mod plan;
+pub mod program;
+pub mod results;
+pub mod run;
+pub mod samples;
+pub mod scenario;
+pub mod settings;
+pub mod sockets;
+pub mod timings;
+pub mod usage;
--- /dev/null
+++ b/crates/scale/src/scenario.rs
@@ -0,0 +1,132 @@
+//! The scenario file: its fields and their checks.
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+use validator::Validate;
+
+/// The largest number of workers that one machine's descriptors and memory bear.
+const MAX_WORKERS: u32 = 4_000;
+/// No run lasts longer, in seconds.
+const MAX_SECONDS: f64 = 1_800.0;
+
+/// What is played.
+#[derive(Deserialize, Serialize, Validate, Clone, Debug)]
+pub struct Scenario {
+    pub name: String,
+    pub seed: u64,
+    #[validate(range(min = 1, max = MAX_WORKERS))]
+    pub workers: u32,
+    /// True: each worker's agent is a real `sagetrail-side` process.
+    #[serde(default)]
+    pub real_sides: bool,
+    #[validate(range(min = 1, max = 9))]
+    pub cores: u32,
+    #[validate(range(min = 1, max = 20))]
+    pub frontends: u32,
+    /// Threads that carry the hollow workers.
+    #[validate(range(min = 1, max = 64))]
+    pub hollow_threads: u32,
+    /// Played, not measured, in seconds.
+    #[validate(range(min = 0.0, max = MAX_SECONDS))]
+    pub warm_up_s: f64,
+    /// Played and measured, in seconds.
+    #[validate(range(min = 1.0, max = MAX_SECONDS))]
+    pub measured_s: f64,
+    /// A runner sends a heartbeat about this often unasked, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Orders of the operator a second, while measured.
+    #[serde(default)]
+    pub changes_a_second: f64,
+    #[validate(nested)]
+    pub worker: WorkerShape,
+    #[serde(default)]
+    #[validate(length(min = 1), nested)]
+    pub job: Vec<JobShape>,
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+/// What each worker has.
+#[derive(Deserialize, Serialize, Validate, Clone, Debug)]
+pub struct WorkerShape {
+    pub cpu: u64,
+    pub mem_mb: u64,
+    #[serde(default)]
+    pub gpu: u64,
+    #[validate(range(min = 1))]
+    pub workers_a_rack: u32,
+}
+
+/// A kind of job, each with a queue of its own.
+#[derive(Deserialize, Serialize, Validate, Clone, Debug)]
+pub struct JobShape {
+    pub name: String,
+    /// Jobs a second for each 1,000 workers.
+    #[validate(range(min = 0.0))]
+    pub rate_per_1000: f64,
+    pub priority: u32,
+    #[validate(range(min = 1, max = 8))]
+    pub steps: u32,
+    /// Tasks of each step.
+    #[validate(range(min = 1, max = 1024))]
+    pub tasks: u32,
+    pub cpu: u64,
+    pub mem_mb: u64,
+    #[serde(default)]
+    pub gpu: u64,
+    /// The mean time of a task, in milliseconds; each job's is drawn from half of it to half more.
+    #[validate(range(min = 1))]
+    pub work_ms: u64,
+    #[serde(default)]
+    pub gang: bool,
+    #[serde(default)]
+    pub rack_local: bool,
+}
+
+/// What is done to a core process.
+#[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// SIGKILL, started again at the end.
+    Kill,
+    /// SIGSTOP, SIGCONT at the end.
+    Freeze,
+}
+
+/// Which core process.
+#[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultTarget {
+    Scheduler,
+    Replica,
+    /// All core processes at once.
+    All,
+}
+
+/// A trouble at a set time.
+#[derive(Deserialize, Serialize, Clone, Debug)]
+pub struct Fault {
+    pub kind: FaultKind,
+    pub target: FaultTarget,
+    /// In seconds from the start of the measurement.
+    pub at_s: f64,
+    pub for_s: f64,
+}
+
+impl Scenario {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> anyhow::Result<Scenario> {
+        let scenario: Scenario = toml::from_str(&std::fs::read_to_string(path)?)?;
+        scenario.validate()?;
+        Ok(scenario)
+    }
+
+    /// Jobs of a shape a second at this size.
+    pub fn rate(&self, shape: &JobShape) -> f64 {
+        shape.rate_per_1000 * f64::from(self.workers) / 1000.0
+    }
+
+    /// Tasks started a second at this size, when all goes well.
+    pub fn starts_a_second(&self) -> f64 {
+        self.job.iter().map(|shape| self.rate(shape) * f64::from(shape.steps * shape.tasks)).sum()
+    }
+}
--- /dev/null
+++ b/crates/scale/src/settings.rs
@@ -0,0 +1,92 @@
+//! Settings files of the real processes.
+use crate::places::{Places, PEER_PORTS};
+use crate::scenario::Scenario;
+use sagetrail_wire::NodeKind;
+use serde::Serialize;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+
+/// Seeds that each process is told.
+const SEEDS: u32 = 3;
+const MEMORY_MB: u32 = 2_048;
+const MAX_FDS: u32 = 16_000;
+const GRACE_S: u32 = 3;
+
+#[derive(Serialize)]
+struct File {
+    node_name: String,
+    ip: Ipv4Addr,
+    zone: &'static str,
+    port_range: [u16; 2],
+    seeds: Vec<SocketAddrV4>,
+    bootstrap: bool,
+    data_dir: Option<PathBuf>,
+    heartbeat_ms: u64,
+    bind_addrs: Binds,
+    limits: Limits,
+    fault_tolerance: Tolerance,
+    bounds: Bounds,
+}
+
+#[derive(Serialize)]
+struct Binds {
+    control: Option<SocketAddrV4>,
+    frontend: Option<SocketAddrV4>,
+    readiness: Option<SocketAddrV4>,
+}
+
+#[derive(Serialize)]
+struct Limits {
+    memory_mb: u32,
+    max_fds: u32,
+}
+
+#[derive(Serialize)]
+struct Tolerance {
+    machines: u32,
+}
+
+#[derive(Serialize)]
+struct Bounds {
+    grace_s: u32,
+}
+
+/// A process to write a file for.
+pub struct Machine<'a> {
+    pub kind: NodeKind,
+    pub name: &'a str,
+    pub ip: Ipv4Addr,
+    pub folder: &'a Path,
+    pub bootstrap: bool,
+}
+
+/// The seeds of a run.
+pub fn seeds(scenario: &Scenario, places: Places) -> Vec<SocketAddrV4> {
+    (0..scenario.cores.min(SEEDS)).map(|number| Places::control(places.core_ip(number))).collect()
+}
+
+/// Writes the settings of a process; where.
+pub fn write(scenario: &Scenario, places: Places, machine: &Machine) -> anyhow::Result<PathBuf> {
+    let front = machine.kind == NodeKind::Frontend;
+    let file = File {
+        node_name: machine.name.to_owned(),
+        ip: machine.ip,
+        zone: "loopback",
+        port_range: PEER_PORTS,
+        seeds: seeds(scenario, places),
+        bootstrap: machine.bootstrap,
+        data_dir: (machine.kind == NodeKind::Core).then(|| machine.folder.join(machine.name)),
+        heartbeat_ms: scenario.heartbeat_ms,
+        bind_addrs: Binds {
+            control: (!front).then(|| Places::control(machine.ip)),
+            frontend: front.then(|| Places::clients(machine.ip)),
+            readiness: front.then(|| Places::readiness(machine.ip)),
+        },
+        limits: Limits { memory_mb: MEMORY_MB, max_fds: MAX_FDS },
+        fault_tolerance: Tolerance { machines: (scenario.cores - 1) / 2 },
+        bounds: Bounds { grace_s: GRACE_S },
+    };
+    let path = machine.folder.join(format!("{}.toml", machine.name));
+    std::fs::write(&path, toml::to_string(&file)?)?;
+    Ok(path)
+}
