--- a/crates/control/tests/support/starts.rs
+++ b/crates/control/tests/support/starts.rs
@@ -43,6 +43,7 @@
             seeds: seeds.to_vec(),
             bounds: Bounds::default(),
             heartbeat_ms: 1_500,
+            runner_address: None,
             seed: self.random.random(),
         };
         let mut outbox = Outbox::default();
