An idle agent wakes for the relay tree no more often than for its other work

Cause: beside the looks at the runner, the tree's work fell between the agent's other wakes for good: after 150 ms it woke the agent by itself, which left it as far from them as before. a_quiet_agent_is_seldom_awake: 60 wakes in 10 s, at most 45 are allowed.

Change: it waits 300 ms, so that each wake of its own moves it nearer to the others.

Measured: agent heartbeats, reports and watch 40 of 40, among them a_quiet_agent_is_seldom_awake; the seven tests of the tree in simulated time pass, ended inner processes included.

--- a/crates/agent/src/distribution.rs
+++ b/crates/agent/src/distribution.rs
@@ -5,7 +5,7 @@
 use sagetrail_wire::{Message, NodeId, Time};
 
 /// What is due waits so long for another reason to wake: an idle agent wakes for nothing else, in milliseconds.
-const PATIENCE_MS: u64 = 150;
+const PATIENCE_MS: u64 = 300;
 
 /// A process of the relay tree, and the candidates it was last given.
 #[derive(Debug)]
