Hollow agents name the fields of probes: the workspace builds again

Cause: the seam got probes while the scale crate was written beside it. Checked by cargo check of the crate; not measured.

--- a/crates/scale/src/hollow/agent.rs
+++ b/crates/scale/src/hollow/agent.rs
@@ -48,7 +48,8 @@
     let clocks = Clocks::start();
     let (phase, _) = phases();
     let node = settings.node;
-    let parts = Parts { node, clocks, inputs, transport, disk: None, phase, grace: GRACE };
+    let parts =
+        Parts { node, clocks, inputs, transport, disk: None, probe_results: None, phase, grace: GRACE };
     let mut outbox = Outbox::default();
     let agent = AgentNode::new(settings, clocks.now(), &mut outbox);
     let mut process = Process::new(counted(agent, board), outbox, parts);
