Runners judged by a running sum of evidence, against how often work fails anywhere

Cause: three failures in a row found a runner that fails all, hardly ever one that fails a part; one job's tasks could blame a runner alone; several failures at once doubled the rest several times; nothing bounded how many were shut out.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -1,5 +1,5 @@
 //! What becomes of a run that is over: its task done, failed, or waiting again.
-use crate::ids::{StepId, TaskId};
+use crate::ids::{JobId, StepId, TaskId};
 use crate::record::{Key, Outcome};
 use crate::scheduler::Scheduler;
 use sagetrail_wire::agent::RunEnd;
@@ -44,7 +44,7 @@
             }
             RunEnd::Failed => {
                 if first_failure {
-                    self.blame(now, over.node);
+                    self.blame(now, over.node, over.task.step.job);
                 }
                 if self.count_failure(now, over.task, over.node, assignment.attempt) {
                     return;
@@ -56,15 +56,18 @@
     }
 
     fn credit(&mut self, node: NodeId) {
-        if let Some(runner) = self.runners.get_mut(&node) {
-            runner.health.succeeded();
-        }
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        let usual = self.usual_rates.entry(runner.service.clone()).or_default();
+        usual.note(false);
+        runner.health.succeeded(*usual);
     }
 
-    fn blame(&mut self, now: Now, node: NodeId) {
-        if let Some(runner) = self.runners.get_mut(&node) {
-            runner.health.failed(now.steady);
-        }
+    /// A run of the job failed at the runner, or stood still there.
+    pub(crate) fn blame(&mut self, now: Now, node: NodeId, job: JobId) {
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        let usual = self.usual_rates.entry(runner.service.clone()).or_default();
+        usual.note(true);
+        runner.health.failed(now.steady, job, *usual);
     }
 
     fn task_done(&mut self, now: Now, id: TaskId) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The service that runs on the elected core process: ties jobs, runners, queue and ledger together.
 use crate::clock::SteadyDay;
 use crate::headroom::Headroom;
+use crate::health::UsualRate;
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
 use crate::ledger::Ledger;
@@ -27,6 +28,8 @@
 const HELD_IN_A_PASS: usize = 256;
 /// A task that has waited so long no longer avoids runners at which it failed, in milliseconds.
 const AVOID_MS: u64 = 2_500;
+/// At most one in so many runners of a service is shut out by evidence.
+const MOST_SHUT_OUT: usize = 3;
 /// The state of an ended job is told for so long beyond the bound, in milliseconds.
 const RETENTION_MARGIN_MS: u64 = 60_000;
 /// Ended jobs are looked through this often, in milliseconds.
@@ -63,6 +66,8 @@
     /// Room that is kept for a step.
     pub(crate) reservations: BTreeMap<NodeId, Reservation>,
     pub(crate) headroom: Headroom,
+    /// How often work fails, by service.
+    pub(crate) usual_rates: BTreeMap<String, UsualRate>,
     /// Room or held steps have changed since the last pass.
     pub(crate) place_again: bool,
     next_timer: Time,
@@ -95,6 +100,7 @@
             uncommitted: BTreeMap::new(),
             reservations: BTreeMap::new(),
             headroom: Headroom::default(),
+            usual_rates: BTreeMap::new(),
             place_again: true,
             next_timer: now.steady.plus_millis(TIMER_MS),
             next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
@@ -227,15 +233,20 @@
     }
 
     fn open_runners(&self, now: Now, service: &str) -> Vec<OpenRunner> {
-        let usable = |runner: &&Runner| runner.service == service && runner.usable(now.steady);
-        let open =
-            self.runners.iter().filter(|(_, runner)| usable(runner)).map(|(&node, runner)| OpenRunner {
-                node,
-                room: runner.room(),
-                labels: runner.labels.clone(),
-                reserved: self.reservations.get(&node).copied().filter(|held| self.queue.is_held(held.step)),
-                starts: if runner.health.is_well() { u32::MAX } else { 1 },
-            });
+        let reachable = |runner: &&Runner| runner.service == service && runner.reachable(now.steady);
+        let all: Vec<(&NodeId, &Runner)> =
+            self.runners.iter().filter(|(_, runner)| reachable(runner)).collect();
+        let resting = all.iter().filter(|(_, runner)| !runner.health.is_well()).count();
+        // Where many fail at once the cause lies elsewhere: shutting them out would leave too few.
+        let trusted = resting * MOST_SHUT_OUT > all.len();
+        let usable = all.into_iter().filter(|(_, runner)| trusted || runner.health.may_start(now.steady));
+        let open = usable.map(|(&node, runner)| OpenRunner {
+            node,
+            room: runner.room(),
+            labels: runner.labels.clone(),
+            reserved: self.reservations.get(&node).copied().filter(|held| self.queue.is_held(held.step)),
+            starts: if trusted || runner.health.is_well() { u32::MAX } else { 1 },
+        });
         open.filter(|open| open.room.cpu > 0).collect()
     }
 
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -1,5 +1,5 @@
 //! Runs that are better ended where they are: on a runner that leaves, or that stand still.
-use crate::ids::TaskId;
+use crate::ids::{JobId, TaskId};
 use crate::record::Outcome;
 use crate::runner::{Assignment, Runner};
 use crate::scheduler::Scheduler;
@@ -20,7 +20,7 @@
     /// Stops what is better run elsewhere.
     pub(crate) fn watch_runs(&mut self, now: Now) {
         let mut unwanted: Vec<(NodeId, TaskId)> = Vec::new();
-        let mut stalled: Vec<NodeId> = Vec::new();
+        let mut stalled: Vec<(NodeId, JobId)> = Vec::new();
         for (&node, runner) in &self.runners {
             for (&task, assignment) in runner.assigned.iter().filter(|(_, a)| a.active && !a.stop) {
                 let Some(stage) = self.running_stage(task) else { continue };
@@ -28,15 +28,13 @@
                     unwanted.push((node, task));
                 } else if runner.reachable(now.steady) && self.stands_still(now, assignment, stage) {
                     unwanted.push((node, task));
-                    stalled.push(node);
+                    stalled.push((node, task.step.job));
                 }
             }
         }
-        for node in stalled {
+        for (node, job) in stalled {
             log::info!("a run at {node} stands still");
-            if let Some(runner) = self.runners.get_mut(&node) {
-                runner.health.failed(now.steady);
-            }
+            self.blame(now, node, job);
         }
         unwanted.into_iter().for_each(|(node, task)| self.stop(node, task));
     }
