Passes of the placement keep a distance with many runners; a kept batch concerns its runners alone

Change: an index of runners by batch; passes 10 us apart for each runner above 200; the count only where anti-affinity asks for it.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! `Scheduler` takes clients' requests and agents' reports, changes jobs and runners in memory, and lays each
 //! change into the ledger as records. What may only be said or ordered once a change is kept waits in the ledger
 //! for its batch. `docs/system.md` has the invariants.
+mod awaiting;
 mod clients;
 mod clock;
 mod ends;
@@ -12,6 +13,7 @@
 mod job;
 mod ledger;
 mod orders;
+mod pace;
 pub mod placement;
 pub mod preempt;
 mod queue;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -112,10 +112,13 @@
 
     /// True where anti-affinity lets one more task of the step run at the runner.
     fn carries_less(&self, node: NodeId, key: HeldKey, stage: &Stage) -> bool {
+        if stage.anti_affinity == 0 {
+            return true;
+        }
         let step = self.jobs.get(&key.step.job).and_then(|job| job.step(key.step));
         let tasks = step.iter().flat_map(|step| &step.tasks);
         let carried = tasks.filter(|task| task.on == Some(node)).count();
-        stage.anti_affinity == 0 || carried < stage.anti_affinity as usize
+        carried < stage.anti_affinity as usize
     }
 
     fn offer(&self, now: Now, node: NodeId, runner: &Runner, priority: u32, stage: &Stage) -> Option<Offer> {
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -123,9 +123,10 @@
             if let Some(runner) = self.runners.get_mut(&from) {
                 runner.ends.push_back(NotedEnd { number: run.number, batch });
             }
+            self.awaiting.wait_for(batch, from);
             self.changed.insert(from);
         }
-        self.observe_ends();
+        self.observe_ends(from);
     }
 
     /// What is neither active nor finished, and can no longer start, is over.
@@ -145,15 +146,14 @@
         over.into_iter().for_each(|task| self.over_without_end(now, from, task));
     }
 
-    /// Ends whose batches are kept may be observed.
-    pub(crate) fn observe_ends(&mut self) {
-        for (&node, runner) in &mut self.runners {
-            let before = runner.observed;
-            let ledger = &self.ledger;
-            runner.observe(|batch| ledger.is_kept(batch));
-            if runner.observed != before {
-                self.changed.insert(node);
-            }
+    /// Ends of a runner whose batches are kept may be observed.
+    pub(crate) fn observe_ends(&mut self, node: NodeId) {
+        let Some(runner) = self.runners.get_mut(&node) else { return };
+        let before = runner.observed;
+        let ledger = &self.ledger;
+        runner.observe(|batch| ledger.is_kept(batch));
+        if runner.observed != before {
+            self.changed.insert(node);
         }
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,9 +1,11 @@
 //! The service that runs on the elected core process: ties jobs, runners, queue and ledger together.
+use crate::awaiting::AwaitingRunners;
 use crate::clock::SteadyDay;
 use crate::headroom::Headroom;
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
 use crate::ledger::Ledger;
+use crate::pace::PassPace;
 use crate::placement::{fits, HeldStep, OpenRunner, Pass, Placement};
 use crate::preempt::Reservation;
 use crate::queue::{DueTime, DueTimes, HeldKey, HeldQueue};
@@ -55,13 +57,14 @@
     pub(crate) next_order: u64,
     /// Runners that may need new orders.
     pub(crate) changed: BTreeSet<NodeId>,
-    /// Runners with assignments in batches that are not kept yet.
-    uncommitted: BTreeMap<u64, BTreeSet<NodeId>>,
+    /// Runners with assignments or ends in batches that are not kept yet.
+    pub(crate) awaiting: AwaitingRunners,
     /// Room that is kept for a step.
     pub(crate) reservations: BTreeMap<NodeId, Reservation>,
     pub(crate) headroom: Headroom,
     /// Room or held steps have changed since the last pass.
     pub(crate) place_again: bool,
+    passes: PassPace,
     next_timer: Time,
     next_purge: Time,
     pub(crate) surveyed_at: Time,
@@ -88,10 +91,11 @@
             ledger: Ledger::new(),
             next_order: 1,
             changed: BTreeSet::new(),
-            uncommitted: BTreeMap::new(),
+            awaiting: AwaitingRunners::default(),
             reservations: BTreeMap::new(),
             headroom: Headroom::default(),
             place_again: true,
+            passes: PassPace::default(),
             next_timer: now.steady.plus_millis(TIMER_MS),
             next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
             surveyed_at: now.steady,
@@ -188,6 +192,7 @@
     /// One pass of the placement for each service with held steps.
     fn place(&mut self, now: Now) {
         self.place_again = false;
+        self.passes.done(now.steady, self.runners.len());
         self.keep_headroom(now);
         for service in self.queue.services() {
             let runners = self.open_runners(now, &service);
@@ -295,7 +300,7 @@
         {
             assignment.batch = batch;
         }
-        self.uncommitted.entry(batch).or_default().insert(node);
+        self.awaiting.wait_for(batch, node);
         self.refresh_step(id.step);
     }
 
@@ -332,7 +337,7 @@
     /// After each event: due times, placement, orders.
     fn settle(&mut self, now: Now) {
         self.open_due_times(now);
-        if self.place_again && !self.queue.is_empty() {
+        if self.place_again && !self.queue.is_empty() && self.passes.may_run(now.steady) {
             self.place(now);
         }
         self.send_changed_orders(now);
@@ -412,10 +417,10 @@
 
     fn committed(&mut self, now: Now, number: u64) {
         self.ledger.commit(number);
-        let later = self.uncommitted.split_off(&(number + 1));
-        let kept = std::mem::replace(&mut self.uncommitted, later);
-        self.changed.extend(kept.into_values().flatten());
-        self.observe_ends();
+        for node in self.awaiting.take_kept(number) {
+            self.changed.insert(node);
+            self.observe_ends(node);
+        }
         self.settle(now);
     }
 
@@ -436,7 +441,8 @@
     }
 
     fn next_wake(&self) -> Option<Time> {
-        Some(self.next_due.map_or(self.next_timer, |due| due.min(self.next_timer)))
+        let pass_due = self.passes.delayed_until().filter(|_| self.place_again && !self.queue.is_empty());
+        [self.next_due, pass_due].into_iter().flatten().chain([self.next_timer]).min()
     }
 
     fn take_batch(&mut self) -> Option<Batch> {
