--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -25,8 +25,8 @@
 pub const LEARN_WAIT_MS: u64 = 300;
 /// An order is answered so long before the operator's bound.
 pub const ORDER_MARGIN_MS: u64 = 300;
-/// A process that is not founded says hello this often.
-pub const FOUNDING_HELLO_MS: u64 = 200;
+/// A process that does not take part yet says hello this often.
+pub const UNREADY_HELLO_MS: u64 = 150;
 /// A founder that hears nothing new for so long founds.
 pub const FOUNDING_QUIET_MS: u64 = 700;
 /// A founder waits so long for enough processes.
@@ -45,6 +45,8 @@
 pub const SNAPSHOT_MS: u64 = 2_000;
 /// A request that waits for fresh knowledge of the register is dropped after so long.
 pub const DELAYED_MS: u64 = 1_000;
+/// Core processes tell each other this often which leases of membership they hold.
+pub const SHARE_INTERVAL_MS: u64 = 1_000;
 /// Replies take the forwarder's way for so long after a relayed message.
 pub const RELAY_MS: u64 = 2_000;
 /// A terminated process ends after so long at the latest.
--- a/crates/scale/src/simulated/world.rs
+++ b/crates/scale/src/simulated/world.rs
@@ -14,7 +14,7 @@
 use crate::samples::{Role, RoleUsage};
 use crate::scenario::{FaultKind, FaultTarget, Scenario};
 use crate::timings::Timing;
-use sagetrail_wire::node::{Door, Event, HttpReply, HttpRequest, HttpRequestId, Outbox};
+use sagetrail_wire::node::{Door, Event, HttpReply, HttpRequest, HttpRequestId, Outbox, ProbeResult};
 use sagetrail_wire::{Message, NodeId, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::Ordering;
@@ -28,6 +28,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const CONFIGURE_PAUSE: Duration = Duration::from_millis(200);
 const TRIES: u32 = 5;
+/// The status of a runner that is well.
+const WELL: u16 = 200;
 const KB: f64 = 1_000.0;
 
 /// Who waits for an answer of HTTP.
@@ -162,6 +164,12 @@
             Action::HeartbeatAnswer { worker, sent, reply } => self.heartbeat_answer(worker, sent, &reply),
             Action::Submit { job, attempt } => self.submit(job, attempt),
             Action::SubmitAnswer { job, attempt, reply } => self.submit_answer(job, attempt, reply.as_ref()),
+            Action::Looked { machine, id } => {
+                let result = ProbeResult::Status(WELL);
+                self.drive(machine, |machine, now, outbox| {
+                    machine.handle(now, Event::Probe { id, result }, outbox);
+                });
+            }
             Action::Configure => {
                 let request = configuration(&self.scenario);
                 self.call(0, Door::Control, request, Waiting::Operator);
@@ -207,6 +215,9 @@
         for (id, reply) in outbox.replies {
             self.answer(id, reply);
         }
+        for probe in outbox.probes {
+            self.engine.after(LOCAL, Action::Looked { machine: at, id: probe.id });
+        }
         let due = self.machines[at].next_wake();
         let Some(due) = due.map(|due| due.max(self.engine.now)) else { return };
         if self.machines[at].wake_at.is_none_or(|scheduled| due < scheduled) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod ids;
 mod job;
 mod ledger;
+mod objective;
 mod orders;
 mod pace;
 pub mod placement;
