--- a/crates/scale/src/hollow/threads.rs
+++ b/crates/scale/src/hollow/threads.rs
@@ -9,17 +9,23 @@
 use crate::operator::SERVICE;
 use crate::places::Places;
 use crate::scenario::Scenario;
+use anyhow::Context;
 use sagetrail_agent::AgentSettings;
 use sagetrail_wire::bounds::Bounds;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 /// A worker starts so long after the one before it on the same thread, so that heartbeats are spread.
 const START_GAP: Duration = Duration::from_micros(700);
 
+const WELL: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// What hollow workers are started with.
 #[derive(Clone)]
 pub struct HollowSettings {
@@ -70,6 +76,7 @@
     let caller = Caller::default();
     for number in (thread..scenario.workers).step_by(scenario.hollow_threads as usize) {
         let door = door(settings, number, &caller)?;
+        tokio::task::spawn_local(answer_looks(listen(settings.places.runner(number)).await?));
         let runner = HollowRunner::new(profile(settings, number), settings.board.clone(), Instant::now());
         tokio::task::spawn_local(work(runner, door, settings.board.clone(), over.clone()));
         tokio::time::sleep(START_GAP).await;
@@ -88,6 +95,18 @@
     Ok(AgentDoor::Direct { inputs, last_request: 0 })
 }
 
+async fn listen(address: SocketAddrV4) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("listening at {address}"))
+}
+
+/// A hollow runner is well: looks at it are answered so.
+async fn answer_looks(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        // An error: whoever looked has gone.
+        let _ = stream.write_all(WELL).await;
+    }
+}
+
 /// What a worker's agent is started with.
 pub fn agent_settings(settings: &HollowSettings, number: u32) -> AgentSettings {
     let scenario = &settings.scenario;
@@ -99,6 +118,7 @@
         seeds,
         bounds: Bounds::default(),
         heartbeat_ms: scenario.heartbeat_ms,
+        runner_address: Some(settings.places.runner(number)),
         seed: scenario.seed.wrapping_add(u64::from(number)),
     }
 }
@@ -110,7 +130,7 @@
     RunnerProfile {
         instance: format!("i-{number:08x}"),
         service: SERVICE.to_owned(),
-        address: format!("{}:8080", settings.places.worker_ip(number)),
+        address: settings.places.runner(number).to_string(),
         capacity: Capacity { cpu: shape.cpu, mem_mb: shape.mem_mb, gpu: shape.gpu },
         labels: vec!["a".to_owned(), format!("rack-{rack}")],
         heartbeat: Duration::from_millis(settings.scenario.heartbeat_ms),
--- a/crates/scale/src/places.rs
+++ b/crates/scale/src/places.rs
@@ -7,6 +7,7 @@
 const CONTROL_PORT: u16 = 7300;
 const CLIENT_PORT: u16 = 7301;
 const READINESS_PORT: u16 = 7302;
+const RUNNER_PORT: u16 = 8080;
 /// The first address of each class, counted in the run's own network.
 const FIRST_CORE: u32 = 1;
 const FIRST_FRONTEND: u32 = 101;
@@ -45,6 +46,11 @@
         self.ip(FIRST_WORKER + number)
     }
 
+    /// Where a worker's runner accepts calls.
+    pub fn runner(self, number: u32) -> SocketAddrV4 {
+        SocketAddrV4::new(self.worker_ip(number), RUNNER_PORT)
+    }
+
     /// Where a machine is controlled.
     pub fn control(ip: Ipv4Addr) -> SocketAddrV4 {
         SocketAddrV4::new(ip, CONTROL_PORT)
--- a/crates/scale/src/simulated/engine.rs
+++ b/crates/scale/src/simulated/engine.rs
@@ -1,5 +1,5 @@
 //! What happens when: simulated time, and all that is to come.
-use sagetrail_wire::node::{DiskWrite, HttpReply, Now};
+use sagetrail_wire::node::{DiskWrite, HttpReply, Now, ProbeId};
 use sagetrail_wire::{NodeId, Time};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -38,6 +38,11 @@
         attempt: u32,
         reply: Option<HttpReply>,
     },
+    /// A look at a runner is answered: hollow runners are well.
+    Looked {
+        machine: usize,
+        id: ProbeId,
+    },
     Configure,
     ConfigureAnswer {
         reply: HttpReply,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! `Scheduler` takes clients' requests and agents' reports, changes jobs and runners in memory, and lays each
 //! change into the ledger as records. What may only be said or ordered once a change is kept waits in the ledger
 //! for its batch. `docs/system.md` has the invariants.
+mod awaiting;
 mod clients;
 mod clock;
 mod ends;
@@ -13,6 +14,7 @@
 mod ledger;
 mod objective;
 mod orders;
+mod pace;
 pub mod placement;
 pub mod preempt;
 mod queue;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,4 +1,5 @@
 //! The service that runs on the elected core process: ties jobs, runners, queue and ledger together.
+use crate::awaiting::AwaitingRunners;
 use crate::clock::SteadyDay;
 use crate::headroom::Headroom;
 use crate::health::UsualRate;
@@ -6,6 +7,7 @@
 use crate::job::Job;
 use crate::ledger::Ledger;
 use crate::objective::Objective;
+use crate::pace::PassPace;
 use crate::placement::{fits, HeldStep, OpenRunner, Pass, Placement};
 use crate::preempt::Reservation;
 use crate::queue::{DueTime, DueTimes, HeldKey, HeldQueue};
@@ -61,8 +63,8 @@
     pub(crate) next_order: u64,
     /// Runners that may need new orders.
     pub(crate) changed: BTreeSet<NodeId>,
-    /// Runners with assignments in batches that are not kept yet.
-    uncommitted: BTreeMap<u64, BTreeSet<NodeId>>,
+    /// Runners with assignments or ends in batches that are not kept yet.
+    pub(crate) awaiting: AwaitingRunners,
     /// Room that is kept for a step.
     pub(crate) reservations: BTreeMap<NodeId, Reservation>,
     pub(crate) headroom: Headroom,
@@ -70,6 +72,7 @@
     pub(crate) usual_rates: BTreeMap<String, UsualRate>,
     /// Room or held steps have changed since the last pass.
     pub(crate) place_again: bool,
+    passes: PassPace,
     next_timer: Time,
     next_purge: Time,
     pub(crate) surveyed_at: Time,
@@ -97,11 +100,12 @@
             ledger: Ledger::new(),
             next_order: 1,
             changed: BTreeSet::new(),
-            uncommitted: BTreeMap::new(),
+            awaiting: AwaitingRunners::default(),
             reservations: BTreeMap::new(),
             headroom: Headroom::default(),
             usual_rates: BTreeMap::new(),
             place_again: true,
+            passes: PassPace::default(),
             next_timer: now.steady.plus_millis(TIMER_MS),
             next_purge: now.steady.plus_millis(PURGE_INTERVAL_MS),
             surveyed_at: now.steady,
@@ -217,6 +221,7 @@
     /// One pass of the placement for each service with held steps.
     fn place(&mut self, now: Now) {
         self.place_again = false;
+        self.passes.done(now.steady, self.runners.len());
         self.keep_headroom(now);
         for service in self.queue.services() {
             let runners = self.open_runners(now, &service);
@@ -329,7 +334,7 @@
         {
             assignment.batch = batch;
         }
-        self.uncommitted.entry(batch).or_default().insert(node);
+        self.awaiting.wait_for(batch, node);
         self.refresh_step(id.step);
     }
 
@@ -366,7 +371,7 @@
     /// After each event: due times, placement, orders.
     fn settle(&mut self, now: Now) {
         self.open_due_times(now);
-        if self.place_again && !self.queue.is_empty() {
+        if self.place_again && !self.queue.is_empty() && self.passes.may_run(now.steady) {
             self.place(now);
         }
         self.send_changed_orders(now);
@@ -446,10 +451,10 @@
 
     fn committed(&mut self, now: Now, number: u64) {
         self.ledger.commit(number);
-        let later = self.uncommitted.split_off(&(number + 1));
-        let kept = std::mem::replace(&mut self.uncommitted, later);
-        self.changed.extend(kept.into_values().flatten());
-        self.observe_ends();
+        for node in self.awaiting.take_kept(number) {
+            self.changed.insert(node);
+            self.observe_ends(node);
+        }
         self.settle(now);
     }
 
@@ -471,7 +476,8 @@
     }
 
     fn next_wake(&self) -> Option<Time> {
-        Some(self.next_due.map_or(self.next_timer, |due| due.min(self.next_timer)))
+        let pass_due = self.passes.delayed_until().filter(|_| self.place_again && !self.queue.is_empty());
+        [self.next_due, pass_due].into_iter().flatten().chain([self.next_timer]).min()
     }
 
     fn take_batch(&mut self) -> Option<Batch> {
