--- a/crates/scale/src/hollow/threads.rs
+++ b/crates/scale/src/hollow/threads.rs
@@ -112,7 +112,6 @@
     let scenario = &settings.scenario;
     let seeds = (0..scenario.cores).map(|core| settings.places.core_node(core)).collect();
     AgentSettings {
-        runner_address: None,
         node: settings.places.agent_node(number),
         incarnation: u64::from(number) + 1,
         seeds,
