--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 mod awaiting;
 mod clients;
 mod clock;
+mod drain;
 mod ends;
 mod headroom;
 mod health;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -30,6 +30,8 @@
     pub step: StepId,
     pub priority: u32,
     pub until: Time,
+    /// What runs there ends by itself; see `drain`.
+    pub drain: bool,
 }
 
 /// A run that may be stopped.
@@ -78,7 +80,10 @@
         let offers = self.offers(now, service, key, &stage);
         let chosen = if stage.gang { whole_gang(offers, &stage, wanted) } else { offers };
         let until = now.steady.plus_millis(self.settings.bounds.stop_ms + RESERVATION_MARGIN_MS);
-        let reservation = Reservation { step: key.step, priority: key.priority, until };
+        let reservation = Reservation { step: key.step, priority: key.priority, until, drain: false };
+        if chosen.is_empty() {
+            return self.drain_for(now, service, key);
+        }
         let mut left = wanted;
         for offer in chosen {
             let seats = offer.seats.min(left);
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -390,3 +390,28 @@
     world.obey_all();
     assert!(world.running().iter().all(|(_, task, _)| task.starts_with(B)), "{:?}", world.running());
 }
+
+#[test]
+fn a_task_that_needs_a_whole_runner_does_not_wait_for_ever_behind_smaller_ones() {
+    let mut world = World::new(2);
+    let small = r#"{"stages":[{"count":1,"cpu":1000}]}"#;
+    for number in 0..8u64 {
+        world.submit(&format!("{number:016x}"), small);
+    }
+    world.commit();
+    world.obey_all();
+    world.submit(A, r#"{"stages":[{"count":1,"cpu":4000}]}"#);
+    world.commit();
+    // One small run ends each 200 ms and another is handed in.
+    for number in 100..160u64 {
+        world.pass_ms(200);
+        world.commit();
+        let oldest = world.running().into_iter().min_by_key(|(_, task, _)| task.clone());
+        let Some((at, task, _)) = oldest.filter(|(_, task, _)| !task.starts_with(A)) else { break };
+        world.runners.get_mut(&at).expect("a runner").end(&task, RunEnd::Done);
+        world.submit(&format!("{number:016x}"), small);
+        world.report_all();
+        world.obey_all();
+    }
+    assert!(world.running().iter().any(|(_, task, _)| task.starts_with(A)));
+}
