--- a/crates/scale/src/board.rs
+++ b/crates/scale/src/board.rs
@@ -61,7 +61,7 @@
     running: HashMap<String, u64>,
     gangs: HashMap<String, Gathering>,
     terms: BTreeMap<u64, TermSeen>,
-    first_start_after: BTreeMap<u64, Instant>,
+    first_starts: BTreeMap<u64, Instant>,
 }
 
 /// The shared board.
@@ -103,7 +103,7 @@
         Counts::add(&self.counts.starts);
         Counts::add(&self.counts.running);
         let mut state = self.lock();
-        state.first_start_after.entry(term).or_insert(now);
+        state.first_starts.entry(term).or_insert(now);
         if state.running.insert(task.to_owned(), attempt).is_some() {
             Counts::add(&self.counts.double_starts);
         }
@@ -168,16 +168,16 @@
         self.lock().terms.values().next_back().map_or(0, |seen| seen.runners)
     }
 
-    /// The first term that runners heard of after an instant.
-    pub fn term_after(&self, instant: Instant) -> Option<TermSeen> {
-        self.lock().terms.values().find(|seen| seen.first > instant).copied()
+    /// The first term that runners heard of after an instant and before another.
+    pub fn term_between(&self, from: Instant, to: Option<Instant>) -> Option<(u64, TermSeen)> {
+        let state = self.lock();
+        let within = |seen: &TermSeen| seen.first > from && to.is_none_or(|to| seen.first < to);
+        state.terms.iter().find(|(_, seen)| within(seen)).map(|(&term, &seen)| (term, seen))
     }
 
-    /// The first start under a term that began after an instant.
-    pub fn start_after(&self, instant: Instant) -> Option<Instant> {
-        let state = self.lock();
-        let term = state.terms.iter().find(|(_, seen)| seen.first > instant).map(|(&term, _)| term)?;
-        state.first_start_after.get(&term).copied()
+    /// The first start under a term.
+    pub fn first_start_of(&self, term: u64) -> Option<Instant> {
+        self.lock().first_starts.get(&term).copied()
     }
 
     /// Jobs that were submitted and whose tasks have not all ended.
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -77,17 +77,23 @@
     }
 }
 
-/// What a played fault led to, by what runners saw.
-pub fn takeover(played: &Played, board: &Board) -> Takeover {
+/// What the played faults led to, by what runners saw, each up to the next one.
+pub fn takeovers(played: &[Played], board: &Board) -> Vec<Takeover> {
+    let next = |place: usize| played.get(place + 1).map(|next| next.at);
+    played.iter().enumerate().map(|(place, fault)| takeover(fault, next(place), board)).collect()
+}
+
+fn takeover(played: &Played, next: Option<Instant>, board: &Board) -> Takeover {
     let since = |instant: Instant| (instant - played.at).as_secs_f64() * 1_000.0;
-    let term = board.term_after(played.at);
+    let term = board.term_between(played.at, next);
+    let seen = term.map(|(_, seen)| seen);
     Takeover {
         kind: played.fault.kind,
         target: played.fault.target,
         at_s: played.fault.at_s,
-        first_runner_ms: term.map(|seen| since(seen.first)),
-        last_runner_ms: term.map(|seen| since(seen.last)),
-        runners: term.map_or(0, |seen| seen.runners),
-        first_start_ms: board.start_after(played.at).map(since),
+        first_runner_ms: seen.map(|seen| since(seen.first)),
+        last_runner_ms: seen.map(|seen| since(seen.last)),
+        runners: seen.map_or(0, |seen| seen.runners),
+        first_start_ms: term.and_then(|(term, _)| board.first_start_of(term)).map(since),
     }
 }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -4,7 +4,7 @@
 use crate::call::Caller;
 use crate::cluster::{own_folder, Cluster};
 use crate::disk_probe::DiskProbe;
-use crate::faults::{play, takeover, Played};
+use crate::faults::{play, takeovers, Played};
 use crate::hollow::{HollowFleet, HollowSettings};
 use crate::load::Load;
 use crate::machine;
@@ -81,7 +81,7 @@
         counts: course.counts,
         timings: board.timings.rows(),
         usage: course.usage,
-        takeovers: course.played.iter().map(|played| takeover(played, &board)).collect(),
+        takeovers: takeovers(&course.played, &board),
         course: course.rows,
     })
 }
--- a/crates/scale/src/simulated/world.rs
+++ b/crates/scale/src/simulated/world.rs
@@ -5,7 +5,7 @@
 use super::machine::Machine;
 use super::meter::Meter;
 use crate::board::{Board, JobFacts};
-use crate::faults::{takeover, Played};
+use crate::faults::{takeovers, Played};
 use crate::hollow::{profile, HollowRunner, HollowSettings, Orders};
 use crate::machine::look;
 use crate::places::Places;
@@ -83,7 +83,7 @@
         counts,
         timings: world.board.timings.rows(),
         usage: world.usage(&before.0, &after.0),
-        takeovers: world.played.iter().map(|played| takeover(played, &world.board)).collect(),
+        takeovers: takeovers(&world.played, &world.board),
         course: Vec::new(),
     })
 }
--- /dev/null
+++ b/crates/scale/tests/takeovers.rs
@@ -0,0 +1,33 @@
+//! What a fault led to is told from what the next one did.
+use sagetrail_scale::board::Board;
+use sagetrail_scale::faults::{takeovers, Played};
+use sagetrail_scale::scenario::{Fault, FaultKind, FaultTarget};
+use std::time::{Duration, Instant};
+
+fn fault(target: FaultTarget, at: Instant) -> Played {
+    Played { fault: Fault { kind: FaultKind::Kill, target, at_s: 0.0, for_s: 1.0 }, at }
+}
+
+#[test]
+fn a_new_term_belongs_to_the_fault_before_it() {
+    let (board, _over) = Board::new();
+    let started = Instant::now();
+    let at = |ms: u64| started + Duration::from_millis(ms);
+    board.heard_of_term(1, at(0));
+    board.heard_of_term(2, at(1_000));
+    board.heard_of_term(2, at(1_200));
+    board.started("00000000000000aa.0.0.0", 1, 2, at(1_300));
+    board.heard_of_term(3, at(9_000));
+    let played = [
+        fault(FaultTarget::Scheduler, at(100)),
+        fault(FaultTarget::Replica, at(2_000)),
+        fault(FaultTarget::All, at(8_000)),
+    ];
+    let rows = takeovers(&played, &board);
+    assert_eq!(rows[0].first_runner_ms, Some(900.0));
+    assert_eq!(rows[0].last_runner_ms, Some(1_100.0));
+    assert_eq!(rows[0].first_start_ms, Some(1_200.0));
+    assert_eq!(rows[0].runners, 2);
+    assert_eq!(rows[1].first_runner_ms, None, "no scheduler changed");
+    assert_eq!(rows[2].first_runner_ms, Some(1_000.0));
+}
