--- a/crates/policy/src/policy/health.rs
+++ b/crates/policy/src/policy/health.rs
@@ -15,7 +15,7 @@
                 if attempt.at_cap && prompt && runner.cap < lid {
                     runner.cap += job.slots;
                 }
-                self.errors.push((attempt.runner, false));
+                self.errors.push((attempt.runner, false, job.key));
                 self.measured(job, attempt, run, expected);
                 // A slow finish is a weaker sign than silence or an error: a full store slows everyone's
                 // work, and large sizes come in runs. ln(0.4/0.11), one in nine of a well runner's.
@@ -30,7 +30,7 @@
             }
             Outcome::Error | Outcome::Reset => {
                 let sign = self.error_sign(attempt.runner);
-                self.errors.push((attempt.runner, true));
+                self.errors.push((attempt.runner, true, job.key));
                 self.shun(attempt.runner, job.category, now, sign);
                 self.weigh(attempt.runner, now, sign);
             }
@@ -48,12 +48,20 @@
     /// How much an error says against its runner: ln(0.4/p), p being the errors of late at all the others.
     /// Guards against blaming runners for what fails anywhere: a lock or a store behind all, bad requests.
     pub(super) fn error_sign(&self, r: usize) -> f64 {
-        let others = self.errors.samples().iter().filter(|(at, _)| *at != r);
-        let (all, bad) = others.fold((0.0, 0.0), |(all, bad), (_, b)| (all + 1.0, bad + *b as u8 as f64));
+        let others = self.errors.samples().iter().filter(|(at, ..)| *at != r);
+        let (all, bad) = others.fold((0.0, 0.0), |(all, bad), (_, b, _)| (all + 1.0, bad + *b as u8 as f64));
         // One in 33 where nothing is known, the rate of the test itself.
         (0.4 * (all + 33.0) / (bad + 1.0)).ln().clamp(0.0, 3.0)
     }
 
+    /// Of late all work of a key failed, at three runners or more. Guards against work that fails wherever it
+    /// goes: it takes slots, and attempts at runners that are well. It may hurt where just these three fail.
+    pub(super) fn fails_anywhere(&self, key: u32) -> bool {
+        let of_key = self.errors.samples().iter().filter(|(.., k)| *k == key && key != 0);
+        let at: BTreeSet<usize> = of_key.clone().map(|(at, ..)| *at).collect();
+        at.len() >= 3 && of_key.clone().all(|(_, bad, _)| *bad)
+    }
+
     /// The same test for one category there, which then leaves the runner for a while. Guards against one
     /// that fails this category alone.
     pub(super) fn shun(&mut self, r: usize, category: usize, now: f64, sign: f64) {
--- a/crates/policy/src/policy/rules.rs
+++ b/crates/policy/src/policy/rules.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn may_resend(&self, w: u32, now: f64) -> bool {
         let work = &self.works[w as usize];
-        let first = work.made == 0 || self.resends >= 1.0;
+        let first = work.made == 0 || self.resends >= 1.0 && !self.fails_anywhere(work.job.key);
         first
             && work.made < self.terms.most_attempts
             && work.ran.is_none_or(|(_, first)| self.may_go(w, first, now))
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -303,8 +303,8 @@
     pub(crate) next_seek: f64,
     /// How long attempts waited for their start, and when that was told.
     pub(crate) waits: Ring<(f64, f64), WAITS>,
-    /// Where work ended of late, and whether by an error.
-    pub(crate) errors: Ring<(usize, bool), OUTCOMES>,
+    /// Where work ended of late, whether by an error, and its key.
+    pub(crate) errors: Ring<(usize, bool, u32), OUTCOMES>,
     /// The median of those told of late, and the longest of all.
     pub(crate) wait_s: f64,
     pub(crate) longest_wait: f64,
--- a/crates/policy/tests/stories.rs
+++ b/crates/policy/tests/stories.rs
@@ -946,3 +946,32 @@
     assert_eq!(host.sent_to(second).len(), 1);
     assert!(matches!(host.ends(second)[..], [Defer(..)]));
 }
+
+#[test]
+fn work_of_a_key_that_failed_wherever_it_went_is_tried_once() {
+    let (mut d, mut host) = start(terms(), 12);
+    let mut failed_at = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        let work_item = host.take(&mut d, IDEMPOTENT, 42);
+        let mut no = 0;
+        while host.ends(work_item).is_empty() {
+            host.come(&mut d, work_item, no, Outcome::Error);
+            no += 1;
+        }
+        failed_at.extend(host.sent_to(work_item));
+        host.asked.clear();
+    }
+    assert!(failed_at.len() >= 3, "{failed_at:?}");
+    let (bad, other) = (host.take(&mut d, IDEMPOTENT, 42), host.take(&mut d, IDEMPOTENT, 43));
+    host.come(&mut d, other, 0, Outcome::Error);
+    assert_eq!(host.sent_to(other).len(), 2, "another key's work is sent again");
+    host.come(&mut d, bad, 0, Outcome::Error);
+    assert!(matches!(host.ends(bad)[..], [Defer(..)]), "answered at once");
+    assert_eq!(host.sent_to(bad).len(), 1);
+    let served = host.take(&mut d, IDEMPOTENT, 42);
+    host.come(&mut d, served, 0, Outcome::Finished);
+    host.asked.clear(); // Handles are given out again.
+    let again = host.take(&mut d, IDEMPOTENT, 42);
+    host.come(&mut d, again, 0, Outcome::Error);
+    assert_eq!(host.sent_to(again).len(), 2, "one that ended well clears the key");
+}
