The scheduler reads the register itself; its own renewals no longer put that off

Cause: each renewal put the next read of the register off at whoever got it, the scheduler itself included, so that a scheduler that missed the one Learn message never learnt a change. Test red before: a_scheduler_that_is_not_told_of_a_change_reads_it_in_time.

--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -91,7 +91,8 @@
             ControlMessage::Renew(renew) => {
                 self.replica.renew(now, from, &renew, effects);
                 self.on_rumour(renew.learned);
-                if renew.learned == self.knowledge.ballot() {
+                // The owner's own word tells the owner nothing new: it reads the register itself.
+                if from != self.settings.node && renew.learned == self.knowledge.ballot() {
                     self.poll_at = self.poll_at.max(now.plus_millis(POLL_MS));
                 }
             }
--- a/crates/control/tests/trouble.rs
+++ b/crates/control/tests/trouble.rs
@@ -1,7 +1,7 @@
 //! Single troubles: kills, freezes, cuts, lost power, emptied disks, replaced machines.
 mod support;
 use sagetrail_wire::node::Method;
-use support::world::{config, World};
+use support::world::{config, id, World};
 
 fn busy(count: usize, seed: u64) -> World {
     let mut world = World::founded(count, seed);
@@ -183,3 +183,18 @@
     feed(&mut world, 1_000..1_050);
     assert_eq!(world.acked(), 250);
 }
+
+#[test]
+fn a_scheduler_that_is_not_told_of_a_change_reads_it_in_time() {
+    let mut world = busy(5, 13);
+    let owner = world.owner().unwrap();
+    let proposer = (owner + 1) % 5;
+    // Whoever could tell the owner of the change cannot reach it; it reaches them.
+    world.cut.insert((id(proposer), id(owner)));
+    let number = world.http(proposer, Method::Post, "/v1/config/replace", Some(5), &config(9));
+    world.run(600);
+    assert_eq!(world.status(number), 200);
+    world.run(900);
+    assert_eq!(world.owner(), Some(owner));
+    assert_eq!(world.journal.lock().unwrap().config_version, 9);
+}
