--- a/crates/policy/src/policy/membership.rs
+++ b/crates/policy/src/policy/membership.rs
@@ -61,7 +61,7 @@
 
     /// Guards against hundreds of connections: who cannot use all runners uses those that rank highest in a
     /// hash of its own number and theirs; as many, by themselves, of those open to the same bound categories.
-    /// Where a fetch is priced no lower than crossing, keys must lie at the same runners for all: all are used.
+    /// Where a fetch is priced no lower than crossing, all use all, so that a key lies at the same places.
     pub(super) fn choose(&mut self) {
         let all = self.terms.probes || self.terms.fetch_is_dear;
         let most = if all { usize::MAX } else { self.wanted as usize };
--- a/crates/policy/src/policy/places.rs
+++ b/crates/policy/src/policy/places.rs
@@ -73,8 +73,8 @@
         LOAD * self.mean_run * runner.mine / runner.most.max(CAP_START) + free
     }
 
-    /// Who is liked better for a key: by a hash that all share, whatever the zone. Guards against a copy of each
-    /// key in each zone, where runners keep few.
+    /// Who is liked better for a key: by a hash that all share, whatever the zone. Guards against a copy of
+    /// each key in each zone, where runners keep few.
     pub(super) fn liking(&self, key: u32, r: usize) -> u64 {
         let runner = &self.runners[r];
         if key == 0 {
