--- a/crates/cluster-sim/src/checker/mod.rs
+++ b/crates/cluster-sim/src/checker/mod.rs
@@ -1,5 +1,5 @@
 //! Judges a day by what clients, runners and the operator saw, and by nothing else. Shares no code with the
-//! system. Rules with a time bound are judged only while no trouble is near, which is stricter in what is excused
+//! system. Rules with a time bound are judged only while no trouble is near, which excuses more
 //! than being in touch.
 mod calm;
 mod cancels;
