Frontends and agents receive the summary of a configuration, not its routes

Cause: a frontend's link of 2 Mbit/s was filled by whole configurations (1,500 idle routes, about 300 kB; 25 versions in 2 s): clients' requests waited behind them until their deadline, while the core used 14% of its processors. Outside the core only the version and the limits are used. Change: core processes send the summary (version, limits), made once for each version; the message on the wire is the same.

--- a/crates/cluster/cluster-config/src/item.rs
+++ b/crates/cluster/cluster-config/src/item.rs
@@ -1,6 +1,6 @@
 //! The typed items of a configuration. Unknown fields are in the document's JSON only; field names are its keys.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use validator::Validate;
 
 /// `max_attempts` of a route without one.
@@ -65,7 +65,7 @@
 }
 
 /// Limits on clients' requests.
-#[derive(Deserialize, Clone, PartialEq, Debug)]
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug)]
 #[serde(default)]
 pub struct Limits {
     /// The longest header, in bytes.
--- a/crates/cluster/cluster-config/src/lib.rs
+++ b/crates/cluster/cluster-config/src/lib.rs
@@ -4,7 +4,7 @@
 //! unknown fields included. [`ConfigDocument::parse`] takes a full document; [`ConfigDocument::replace`] and
 //! [`ConfigDocument::patch`] make the next one from the current one. A document is valid by construction;
 //! [`ConfigError`] names the path of the first fault. [`ConfigDocument::route`] finds a request's route: host first,
-//! then the longest prefix.
+//! then the longest prefix. [`ConfigSummary`] is the part that processes outside the core use.
 
 mod change;
 mod document;
@@ -12,8 +12,10 @@
 mod index;
 mod item;
 mod read;
+mod summary;
 
 pub use document::ConfigDocument;
 pub use error::ConfigError;
 pub use index::RouteMatch;
 pub use item::{Limits, Route, ServiceEntry};
+pub use summary::ConfigSummary;
--- a/crates/cluster/control-plane/src/subscribers.rs
+++ b/crates/cluster/control-plane/src/subscribers.rs
@@ -1,9 +1,11 @@
 //! Subscriptions to configurations. A process sends only what it has lately confirmed at a majority, together with the
-//! age of that knowledge: cut off from the majority it sends nothing, and subscribers turn to another process.
+//! age of that knowledge: cut off from the majority it sends nothing, and subscribers turn to another process. What is
+//! sent is the summary, not the document: its size does not grow with the number of routes.
 
 use crate::effects::Effects;
 use crate::register_view::RegisterView;
 use crate::timing::HANDOUT_MS;
+use sagetrail_cluster_config::ConfigSummary;
 use sagetrail_protocol::distribution::{ConfigCurrent, ConfigUpdate, Subscribe, SUBSCRIPTION_MS};
 use sagetrail_protocol::service::ConfigInForce;
 use sagetrail_protocol::{Blob, Message, NodeId, Time};
@@ -29,6 +31,8 @@
     unanswered: BTreeSet<NodeId>,
     /// The newest version that was sent to all subscribers.
     published: u64,
+    /// The newest configuration, as it is sent.
+    newest: Option<ConfigUpdate>,
 }
 
 impl Subscribers {
@@ -59,35 +63,49 @@
         else {
             return;
         };
+        self.summarize(register_view.config());
         for node in std::mem::take(&mut self.unanswered) {
-            self.answer(node, register_view, age_ms, effects);
+            self.answer(node, age_ms, effects);
         }
-        if let Some(config) = register_view
-            .config()
-            .filter(|config| config.version > self.published)
-        {
-            self.published = config.version;
-            self.publish(now, config, effects);
+        self.publish(now, effects);
+    }
+
+    /// Summarizes the configuration in force, once for each version.
+    fn summarize(&mut self, config: Option<&ConfigInForce>) {
+        let Some(config) = config.filter(|config| config.version > self.version()) else {
+            return;
+        };
+        match ConfigSummary::parse(&config.document) {
+            Ok(summary) => {
+                self.newest = Some(ConfigUpdate {
+                    version: config.version,
+                    document: Blob(summary.to_bytes()),
+                });
+            }
+            Err(error) => log::error!(
+                "configuration cannot be summarized: version={} error={error}",
+                config.version
+            ),
         }
     }
 
-    fn answer(
-        &mut self,
-        node: NodeId,
-        register_view: &RegisterView,
-        age_ms: u64,
-        effects: &mut Effects,
-    ) {
+    /// The version that is sent, 0 before the first.
+    fn version(&self) -> u64 {
+        self.newest.as_ref().map_or(0, |newest| newest.version)
+    }
+
+    fn answer(&mut self, node: NodeId, age_ms: u64, effects: &mut Effects) {
+        let version = self.version();
         let Some(subscription) = self.subscriptions.get_mut(&node) else {
             return;
         };
-        let version = register_view.config_version();
         let asked_at = subscription.asked_at;
-        let answer = match register_view
-            .config()
-            .filter(|config| config.version > subscription.known_version)
-        {
-            Some(config) => config_update(config),
+        let newer = self
+            .newest
+            .as_ref()
+            .filter(|newest| newest.version > subscription.known_version);
+        let answer = match newer {
+            Some(newest) => Message::ConfigUpdate(newest.clone()),
             None => Message::ConfigCurrent(ConfigCurrent {
                 version,
                 age_ms,
@@ -98,20 +116,23 @@
         effects.sends.push((node, answer));
     }
 
-    fn publish(&mut self, now: Time, config: &ConfigInForce, effects: &mut Effects) {
+    /// Sends the newest configuration to all subscribers that do not have it, once.
+    fn publish(&mut self, now: Time, effects: &mut Effects) {
+        let Some(newest) = self
+            .newest
+            .as_ref()
+            .filter(|newest| newest.version > self.published)
+        else {
+            return;
+        };
+        self.published = newest.version;
         for (node, subscription) in &mut self.subscriptions {
-            if subscription.expires_at > now && subscription.known_version < config.version {
-                subscription.known_version = config.version;
-                effects.sends.push((*node, config_update(config)));
+            if subscription.expires_at > now && subscription.known_version < newest.version {
+                subscription.known_version = newest.version;
+                effects
+                    .sends
+                    .push((*node, Message::ConfigUpdate(newest.clone())));
             }
         }
     }
 }
-
-fn config_update(config: &ConfigInForce) -> Message {
-    let document = Blob(config.document.to_vec());
-    Message::ConfigUpdate(ConfigUpdate {
-        version: config.version,
-        document,
-    })
-}
--- a/crates/cluster/control-plane/tests/non_member_messages.rs
+++ b/crates/cluster/control-plane/tests/non_member_messages.rs
@@ -143,3 +143,17 @@
     send(&mut cluster, 1, id(0), relayed.clone());
     assert_eq!(cluster.client_messages.pop(), Some(relayed));
 }
+
+#[test]
+fn a_subscriber_is_sent_no_routes() {
+    let mut cluster = Cluster::bootstrapped(3, 3);
+    assert_eq!(cluster.replace(0, 0, 5), 200);
+    send(&mut cluster, 2, CLIENT, subscribe(3));
+    let Some(Message::ConfigUpdate(update)) = cluster.client_messages.pop() else {
+        panic!("no update")
+    };
+    let sent: serde_json::Value = serde_json::from_slice(&update.document).unwrap();
+    assert_eq!(sent["version"], 5);
+    assert_eq!(sent["limits"]["max_body_bytes"], 262_144);
+    assert!(sent.get("routes").is_none() && sent.get("services").is_none());
+}
--- a/crates/cluster/gateway/src/subscription.rs
+++ b/crates/cluster/gateway/src/subscription.rs
@@ -1,6 +1,6 @@
 //! The subscription to configurations: this process is a leaf of the relay tree.
 
-use sagetrail_cluster_config::{ConfigDocument, Limits};
+use sagetrail_cluster_config::{ConfigSummary, Limits};
 use sagetrail_config_distribution::Relay;
 use sagetrail_protocol::distribution::{ConfigCurrent, ConfigUpdate};
 use sagetrail_protocol::node::Outbox;
@@ -100,8 +100,8 @@
     }
 
     fn read_limits(&mut self, update: &ConfigUpdate) {
-        match ConfigDocument::parse(&update.document) {
-            Ok(document) => self.limits = document.limits,
+        match ConfigSummary::parse(&update.document) {
+            Ok(summary) => self.limits = summary.limits,
             Err(error) => log::warn!(
                 "configuration cannot be read: version={} error={error}",
                 update.version
--- a/crates/cluster/protocol/src/distribution.rs
+++ b/crates/cluster/protocol/src/distribution.rs
@@ -14,12 +14,13 @@
     pub asked_at: u64,
 }
 
-/// A full configuration. Sent by a parent to subscribed children: as an answer, and on each new version.
+/// A configuration, as far as processes outside the core use it. Sent by a parent to subscribed children: as an answer,
+/// and on each new version.
 #[derive(DekuRead, DekuWrite, Clone, PartialEq, Eq, Debug)]
 pub struct ConfigUpdate {
     /// The configuration's version.
     pub version: u64,
-    /// The configuration's JSON, as the operator reads it.
+    /// JSON with the configuration's version and limits; routes and services are used on the core alone.
     pub document: Blob,
 }
 
