cluster-config: a patch finds its items by an index of names

Cause: a patch searched the list of items, and the changes before it, for each change: 1,400 routes on top of 1,500 took 352 ms of a processor, 1.4 s on a core machine of 0.25 cores. Change: one index of names for each list, one set of removed names.

--- a/crates/cluster/cluster-config/src/change.rs
+++ b/crates/cluster/cluster-config/src/change.rs
@@ -1,5 +1,7 @@
 //! Changes of a configuration: a replacement, or a patch of named items.
 
+use std::collections::{HashMap, HashSet};
+
 use serde_json::Value;
 
 use crate::document::ConfigDocument;
@@ -69,13 +71,15 @@
     let names = change
         .as_array()
         .ok_or_else(|| ConfigError::at(&path, "must be a list of names"))?;
+    let mut removed = HashSet::with_capacity(names.len());
     for (position, name) in names.iter().enumerate() {
         let name = name
             .as_str()
             .ok_or_else(|| ConfigError::at(format!("{path}[{position}]"), "must be a name"))?;
-        if let Some(Value::Array(items)) = json.get_mut(key) {
-            items.retain(|item| name_of(item) != Some(name));
-        }
+        removed.insert(name);
+    }
+    if let Some(Value::Array(items)) = json.get_mut(key) {
+        items.retain(|item| name_of(item).is_none_or(|name| !removed.contains(name)));
     }
     Ok(())
 }
@@ -99,23 +103,34 @@
     let items = list
         .as_array_mut()
         .ok_or_else(|| ConfigError::at(path, "does not change a list"))?;
+    let mut positions = positions_by_name(items);
+    let mut seen = HashSet::with_capacity(changes.len());
     for (position, change) in changes.iter().enumerate() {
         let path = || format!("{path}[{position}]");
         let name = name_of(change).ok_or_else(|| ConfigError::at(path(), "must have a name"))?;
-        let repeated = changes[..position]
-            .iter()
-            .any(|earlier| name_of(earlier) == Some(name));
-        if repeated {
+        if !seen.insert(name) {
             return Err(ConfigError::at(path(), format!("{name} is there twice")));
         }
-        match items.iter_mut().find(|item| name_of(item) == Some(name)) {
-            Some(item) => *item = change.clone(),
+        match positions.remove(name) {
+            Some(position) => items[position] = change.clone(),
             None => items.push(change.clone()),
         }
     }
     Ok(())
 }
 
+/// The position of the first item of each name: a patch may hold as many items as the document, and a search of the list
+/// for each would take as long as the product of both.
+fn positions_by_name(items: &[Value]) -> HashMap<String, usize> {
+    let mut positions = HashMap::with_capacity(items.len());
+    for (position, item) in items.iter().enumerate() {
+        if let Some(name) = name_of(item) {
+            positions.entry(name.to_owned()).or_insert(position);
+        }
+    }
+    positions
+}
+
 /// Sets fields of an object without a name, such as `limits`; the others stay.
 fn upsert_fields(
     json: &mut Object,
