scheduler: a queue follows its route by the route's name, where the route changed

Cause: each version of the configuration walked the list of routes, 1,500 to 3,000 here, for each job that had not ended, and sorted all its steps anew, on the process that schedules. Change: ConfigDocument::route_named; a job whose route says what it said is left alone.

--- a/crates/cluster/cluster-config/src/document.rs
+++ b/crates/cluster/cluster-config/src/document.rs
@@ -24,6 +24,7 @@
     /// The JSON as sent, the source of the fields above.
     json: Object,
     route_index: RouteIndex,
+    route_positions: HashMap<String, usize>,
     service_positions: HashMap<String, usize>,
 }
 
@@ -59,6 +60,14 @@
         })
     }
 
+    /// The route with this name.
+    #[must_use]
+    pub fn route_named(&self, name: &str) -> Option<&Route> {
+        self.route_positions
+            .get(name)
+            .map(|position| &self.routes[*position])
+    }
+
     /// The service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
@@ -78,7 +87,8 @@
             services.iter().map(|service| service.name.as_str()),
         )?;
         let route_index = RouteIndex::build(&routes)?;
-        let service_positions = positions(&services);
+        let route_positions = positions(routes.iter().map(|route| &route.name));
+        let service_positions = positions(services.iter().map(|service| &service.name));
         check_services(&routes, &service_positions)?;
         Ok(ConfigDocument {
             version,
@@ -87,16 +97,16 @@
             limits,
             json,
             route_index,
+            route_positions,
             service_positions,
         })
     }
 }
 
-fn positions(services: &[ServiceEntry]) -> HashMap<String, usize> {
-    services
-        .iter()
+fn positions<'a>(names: impl Iterator<Item = &'a String>) -> HashMap<String, usize> {
+    names
         .enumerate()
-        .map(|(position, service)| (service.name.clone(), position))
+        .map(|(position, name)| (name.clone(), position))
         .collect()
 }
 
--- a/crates/cluster/cluster-config/tests/document.rs
+++ b/crates/cluster/cluster-config/tests/document.rs
@@ -181,3 +181,12 @@
         );
     }
 }
+
+#[test]
+fn a_route_is_found_by_its_name() {
+    let config = ConfigDocument::parse(&body(&document(3))).unwrap();
+    for route in &config.routes {
+        assert_eq!(config.route_named(&route.name), Some(route));
+    }
+    assert_eq!(config.route_named("r-none"), None);
+}
--- a/crates/cluster/scheduler/src/scheduler/configuration.rs
+++ b/crates/cluster/scheduler/src/scheduler/configuration.rs
@@ -36,11 +36,16 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let mut routes = self.config.iter().flat_map(|config| &config.routes);
-        let Some(route) = routes.find(|route| route.name == job.attributes.queue.name) else {
+        let config = self.config.as_ref();
+        let Some(route) = config.and_then(|config| config.route_named(&job.attributes.queue.name))
+        else {
             return;
         };
-        job.attributes.queue = QueueAttributes::from(route);
+        let queue = QueueAttributes::from(route);
+        if queue == job.attributes.queue {
+            return;
+        }
+        job.attributes.queue = queue;
         for step in job.all_steps() {
             self.refresh_step(step);
         }
