control-plane: a candidate that learns of a promised term withdraws after its pre-vote

Cause: after a loss of power all members stand at once. Change: as in Raft, a candidate withdraws where its term has been promised meanwhile.

--- a/crates/cluster/control-plane/src/election.rs
+++ b/crates/cluster/control-plane/src/election.rs
@@ -216,6 +216,17 @@
         self.on_vote_granted(now, list, effects)
     }
 
+    /// A majority would vote. Where the term has been promised to another candidate meanwhile, that one may have been
+    /// elected already, and a vote for a higher term would end its term: as in Raft (Ongaro's thesis, 3.4 and 9.6), a
+    /// candidate that learns of such a term withdraws.
+    fn after_pre_vote(&mut self, now: Time, term: Term, list: &MemberList, effects: &mut Effects) {
+        if self.highest >= term {
+            self.withdraw(now);
+        } else {
+            self.begin(now, VoteKind::Vote, list, effects);
+        }
+    }
+
     fn on_vote_granted(
         &mut self,
         now: Time,
@@ -228,7 +239,7 @@
             return None;
         }
         if candidacy.kind == VoteKind::PreVote {
-            self.begin(now, VoteKind::Vote, list, effects);
+            self.after_pre_vote(now, candidacy.term, list, effects);
             return None;
         }
         if candidacy.members_version != list.version || !voters.contains(&self.node) {
--- a/crates/cluster/control-plane/tests/faults.rs
+++ b/crates/cluster/control-plane/tests/faults.rs
@@ -186,6 +186,20 @@
     assert_eq!(cluster.acked(), 250);
 }
 
+#[test]
+fn after_a_loss_of_all_power_the_first_leader_keeps_its_term() {
+    for seed in 0..60 {
+        let mut cluster = busy(5, 400 + seed);
+        cluster.conditions.delay_us = (1_000, 40_000);
+        let terms = cluster.terms();
+        (0..5).for_each(|index| cluster.power_off(index));
+        cluster.run(500);
+        (0..5).for_each(|index| cluster.start(index, false));
+        cluster.run(2_500);
+        assert_eq!(cluster.terms(), terms + 1, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_leader_that_returns_with_an_empty_disk_delays_no_election() {
     let mut cluster = busy(5, 12);
