control-plane: a read carries numbers, and a value only to one that lacks it

Twenty replies and the promises of the operator's race fill the core's links of 200 Mbit/s; renewals and their replies wait behind them.

Change: replies to a read hold the number of what was accepted; a chosen value that the reader neither learned nor accepted is fetched from one member. A round names the newest value that its proposer holds. The request's bytes keep their layout; its number now says which value is wanted.

--- a/crates/cluster/cluster-node/tests/stored_core.rs
+++ b/crates/cluster/cluster-node/tests/stored_core.rs
@@ -264,24 +264,30 @@
     (LoneCore::start(&folder, LATER_INCARNATION, false), folder)
 }
 
-fn foreign_read() -> ControlMessage {
-    ControlMessage::Read(Read {
-        nonce: 5,
-        known: ProposalNumber::default(),
-    })
+fn foreign_read(wanted: ProposalNumber) -> ControlMessage {
+    ControlMessage::Read(Read { nonce: 5, wanted })
 }
 
 #[test]
 fn the_registers_proposals_and_value_are_taken_up() {
     let (mut core, _) = restarted("stored-register");
-    let ControlMessage::ReadReply(reply) = core.ask(FOREIGN, foreign_read()) else {
-        panic!("a read is answered");
-    };
     let accepted = ProposalNumber {
         counter: VERSIONS + 1,
         node: ME,
         incarnation: INCARNATION,
     };
+    let unwanted = foreign_read(ProposalNumber::default());
+    let ControlMessage::ReadReply(reply) = core.ask(FOREIGN, unwanted) else {
+        panic!("a read is answered");
+    };
+    assert_eq!(reply.accepted, accepted);
+    assert!(
+        reply.value.is_empty(),
+        "only a value that is wanted is sent"
+    );
+    let ControlMessage::ReadReply(reply) = core.ask(FOREIGN, foreign_read(accepted)) else {
+        panic!("a read is answered");
+    };
     assert_eq!(reply.accepted, accepted);
     check_value(&RegisterValue::decode(&reply.value).unwrap());
     let prepare = Prepare {
--- a/crates/cluster/control-plane/src/acceptor.rs
+++ b/crates/cluster/control-plane/src/acceptor.rs
@@ -4,12 +4,15 @@
 use crate::accept_change;
 use crate::effects::Effects;
 use crate::persisted::{put_proposals, put_value, AcceptorNumbers};
+use crate::register_view::Chosen;
+use crate::value::RegisterValue;
 use sagetrail_protocol::control::{
     Accept, AcceptChange, Accepted, ControlMessage, Prepare, Promise, ProposalNumber, Read,
     ReadReply, Rejected, StateSynced, ValueNeeded,
 };
 use sagetrail_protocol::node::DiskOperation;
 use sagetrail_protocol::{Blob, NodeId};
+use std::sync::Arc;
 
 /// The acceptor of one process.
 #[derive(Debug, Default)]
@@ -99,12 +102,21 @@
         }
     }
 
+    /// The accepted value as a chosen one, decoded; `None` before the first.
+    pub(crate) fn accepted_value(&self) -> Option<Chosen> {
+        let value = RegisterValue::decode(&self.value).ok()?;
+        Some(Chosen {
+            proposal: self.proposals.accepted,
+            value: Arc::new(value),
+        })
+    }
+
     /// A quorum read promises nothing. The reply waits until the value that it names is on disk.
     pub(crate) fn on_read(&self, from: NodeId, read: &Read, effects: &mut Effects) {
         let reply = ControlMessage::ReadReply(ReadReply {
             nonce: read.nonce,
             accepted: self.proposals.accepted,
-            value: self.value_unless(read.known),
+            value: self.value_if(read.wanted),
         });
         if self.synced == self.proposals.accepted {
             return effects.control(from, reply);
@@ -130,6 +142,14 @@
         self.value.clone()
     }
 
+    /// The accepted value where it was accepted in this proposal number; else empty.
+    fn value_if(&self, wanted: ProposalNumber) -> Blob {
+        if wanted == self.proposals.accepted {
+            return self.value.clone();
+        }
+        Blob::default()
+    }
+
     fn reject(&self, from: NodeId, proposal: ProposalNumber, effects: &mut Effects) {
         let rejection = Rejected {
             proposal,
--- a/crates/cluster/control-plane/src/lib.rs
+++ b/crates/cluster/control-plane/src/lib.rs
@@ -68,6 +68,7 @@
 mod effects;
 mod election;
 mod error;
+mod held_values;
 mod http_api;
 mod leadership;
 mod learner;
--- a/crates/cluster/control-plane/src/proposer.rs
+++ b/crates/cluster/control-plane/src/proposer.rs
@@ -4,8 +4,9 @@
 use crate::accepted_changes::AcceptedChanges;
 use crate::change_function::{ChangeFunction, ChangeOutcome};
 use crate::effects::Effects;
+use crate::held_values::HeldValues;
 use crate::quorum::MemberList;
-use crate::register_view::{Chosen, RegisterView};
+use crate::register_view::Chosen;
 use crate::round::{Phase, Round};
 use crate::timing::{BACKOFF_MAX_MS, BACKOFF_MS, RESEND_MS, ROUND_MS};
 use rand::{Rng, SeedableRng};
@@ -127,13 +128,13 @@
     }
 
     /// Starts rounds, sends again what had no answer, and gives up rounds that last too long.
-    pub(crate) fn tick(&mut self, now: Time, register_view: &RegisterView, effects: &mut Effects) {
-        if self.queue.is_empty() || register_view.list.version == 0 {
+    pub(crate) fn tick(&mut self, now: Time, held: &HeldValues, effects: &mut Effects) {
+        if self.queue.is_empty() || held.view.list.version == 0 {
             return;
         }
         let Some(round) = &mut self.round else {
             if now >= self.retry_at {
-                self.start(now, register_view, effects);
+                self.start(now, held, effects);
             }
             return;
         };
@@ -145,19 +146,20 @@
         }
     }
 
-    fn start(&mut self, now: Time, register_view: &RegisterView, effects: &mut Effects) {
+    fn start(&mut self, now: Time, held: &HeldValues, effects: &mut Effects) {
         self.counter += 1;
         let proposal = ProposalNumber {
             counter: self.counter,
             node: self.node,
             incarnation: self.incarnation,
         };
-        let list = if self.newer_list.version > register_view.list.version {
+        let known_list = &held.view.list;
+        let list = if self.newer_list.version > known_list.version {
             self.newer_list.clone()
         } else {
-            register_view.list.clone()
+            known_list.clone()
         };
-        let round = Round::new(now, proposal, list, register_view.chosen.clone());
+        let round = Round::new(now, proposal, list, held.newest());
         round.send(effects);
         self.round = Some(round);
     }
--- a/crates/cluster/control-plane/src/quorum_read.rs
+++ b/crates/cluster/control-plane/src/quorum_read.rs
@@ -1,14 +1,18 @@
 //! Quorum reads of the register, without a round: where a majority has accepted the value of the same proposal number,
 //! that value is chosen. What a quorum read leaves undecided, a round with the identity function decides (CASPaxos, Rystsov,
 //! 2018, section 2.2).
+//!
+//! The replies hold numbers only. A chosen value that the reader does not hold itself is fetched from one of those that
+//! have accepted it.
 
 use crate::effects::Effects;
+use crate::held_values::HeldValues;
 use crate::quorum::MemberList;
-use crate::register_view::{Chosen, RegisterView};
+use crate::register_view::Chosen;
 use crate::timing::{RESEND_MS, ROUND_MS};
 use crate::value::RegisterValue;
 use sagetrail_protocol::control::{ControlMessage, ProposalNumber, Read, ReadReply};
-use sagetrail_protocol::{Blob, NodeId, Time};
+use sagetrail_protocol::{NodeId, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -19,14 +23,23 @@
     nonce: u64,
     /// The members that are asked.
     list: MemberList,
-    /// The chosen value known at the start: acceptors that hold the same one don't send it.
-    known: Option<Chosen>,
     started: Time,
     sent_at: Time,
     /// By acceptor, the proposal number of the value that it has accepted.
     accepted: BTreeMap<NodeId, ProposalNumber>,
-    /// Values that were sent, encoded.
-    values: BTreeMap<ProposalNumber, Blob>,
+    /// The fetch of the chosen value, where the reader does not hold it.
+    fetch: Option<Fetch>,
+}
+
+/// The fetch of a chosen value from one acceptor after the other.
+#[derive(Debug)]
+struct Fetch {
+    /// The number of the chosen value.
+    proposal: ProposalNumber,
+    /// The acceptor that was asked last.
+    asked: Option<NodeId>,
+    /// Those that have accepted it and were not asked yet.
+    sources: Vec<NodeId>,
 }
 
 /// The result of a read.
@@ -67,18 +80,17 @@
     }
 
     /// Starts a read, in the place of one that is under way.
-    pub(crate) fn start(&mut self, now: Time, register_view: &RegisterView, effects: &mut Effects) {
+    pub(crate) fn start(&mut self, now: Time, list: &MemberList, effects: &mut Effects) {
         self.nonce = self.nonce.wrapping_add(1);
         let read = PendingRead {
             nonce: self.nonce,
-            list: register_view.list.clone(),
-            known: register_view.chosen.clone(),
+            list: list.clone(),
             started: now,
             sent_at: now,
             accepted: BTreeMap::new(),
-            values: BTreeMap::new(),
+            fetch: None,
         };
-        read.send(effects);
+        read.send_to_unanswered(effects);
         self.pending = Some(read);
     }
 
@@ -89,21 +101,29 @@
         if now < read.sent_at.plus_millis(RESEND_MS) {
             return None;
         }
-        let differs = read
-            .list
-            .has_quorum(&read.accepted.keys().copied().collect());
+        read.sent_at = now;
+        let differs = read.fetch.is_none() && read.list.has_quorum(&read.answered());
         if differs || now >= read.started.plus_millis(ROUND_MS) {
             let undecided = read.undecided();
             self.pending = None;
             return differs.then_some(undecided);
         }
-        read.sent_at = now;
-        read.send(effects);
+        match &mut read.fetch {
+            Some(fetch) => fetch.send(read.nonce, effects),
+            None => read.send_to_unanswered(effects),
+        }
         None
     }
 
     /// A member has replied; the outcome where that is known now.
-    pub(crate) fn on_reply(&mut self, from: NodeId, reply: ReadReply) -> Option<ReadOutcome> {
+    pub(crate) fn on_reply(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        reply: ReadReply,
+        held: &HeldValues,
+        effects: &mut Effects,
+    ) -> Option<ReadOutcome> {
         let read = self
             .pending
             .as_mut()
@@ -111,41 +131,90 @@
         if !read.list.contains(from) {
             return None;
         }
-        read.accepted.insert(from, reply.accepted);
-        if !reply.value.is_empty() {
-            read.values.insert(reply.accepted, reply.value);
+        if read.fetch.is_some() {
+            return self.on_fetched(from, &reply, effects);
         }
+        read.accepted.insert(from, reply.accepted);
         if let Some(proposal) = read.chosen_proposal() {
-            return self.pending.take().map(|read| read.into_outcome(proposal));
+            let Some(value) = held.value(proposal) else {
+                read.begin_fetch(now, proposal, effects);
+                return None;
+            };
+            return self.finish(proposal, value);
         }
-        if read.accepted.len() == read.list.all().len() {
+        if read.answered().len() == read.list.all().len() {
             let undecided = read.undecided();
             self.pending = None;
             return Some(undecided);
         }
         None
     }
+
+    /// A reply during a fetch. An acceptor that has accepted another value since sends none: the next one is asked.
+    fn on_fetched(
+        &mut self,
+        from: NodeId,
+        reply: &ReadReply,
+        effects: &mut Effects,
+    ) -> Option<ReadOutcome> {
+        let read = self.pending.as_mut()?;
+        let fetch = read.fetch.as_mut()?;
+        let wanted = fetch.proposal;
+        let value = (reply.accepted == wanted && !reply.value.is_empty())
+            .then(|| RegisterValue::decode(&reply.value).ok())
+            .flatten();
+        if let Some(value) = value {
+            return self.finish(wanted, Arc::new(value));
+        }
+        if fetch.asked == Some(from) && reply.accepted != wanted {
+            fetch.send(read.nonce, effects);
+        }
+        None
+    }
+
+    fn finish(
+        &mut self,
+        proposal: ProposalNumber,
+        value: Arc<RegisterValue>,
+    ) -> Option<ReadOutcome> {
+        let read = self.pending.take()?;
+        if value.members_version != read.list.version {
+            return Some(read.undecided());
+        }
+        Some(ReadOutcome::Chosen {
+            chosen: Chosen { proposal, value },
+            as_of: read.started,
+        })
+    }
 }
 
 impl PendingRead {
-    fn send(&self, effects: &mut Effects) {
-        let known = self
-            .known
-            .as_ref()
-            .map(|known| known.proposal)
-            .unwrap_or_default();
+    fn send_to_unanswered(&self, effects: &mut Effects) {
         let read = ControlMessage::Read(Read {
             nonce: self.nonce,
-            known,
+            wanted: ProposalNumber::default(),
         });
-        let unanswered = self
-            .list
-            .all()
-            .into_iter()
-            .filter(|member| !self.accepted.contains_key(member));
+        let members = self.list.all().into_iter();
+        let unanswered = members.filter(|member| !self.accepted.contains_key(member));
         effects.broadcast(unanswered, &read);
     }
 
+    fn begin_fetch(&mut self, now: Time, proposal: ProposalNumber, effects: &mut Effects) {
+        let sources = self.acceptors_of(&proposal).into_iter().collect();
+        let mut fetch = Fetch {
+            proposal,
+            asked: None,
+            sources,
+        };
+        fetch.send(self.nonce, effects);
+        self.sent_at = now;
+        self.fetch = Some(fetch);
+    }
+
+    fn answered(&self) -> BTreeSet<NodeId> {
+        self.accepted.keys().copied().collect()
+    }
+
     fn undecided(&self) -> ReadOutcome {
         let newest = self.accepted.values().max().copied().unwrap_or_default();
         ReadOutcome::Undecided { newest }
@@ -166,27 +235,19 @@
             .map(|(node, _)| *node)
             .collect()
     }
+}
 
-    /// `proposal`: the one whose value is chosen.
-    fn into_outcome(self, proposal: ProposalNumber) -> ReadOutcome {
-        let known = self
-            .known
-            .as_ref()
-            .filter(|known| known.proposal == proposal);
-        let sent = || {
-            self.values
-                .get(&proposal)
-                .and_then(|bytes| RegisterValue::decode(bytes).ok())
-                .map(Arc::new)
+impl Fetch {
+    /// Asks the next acceptor. Once all were asked, the read waits for its end.
+    fn send(&mut self, nonce: u64, effects: &mut Effects) {
+        self.asked = self.sources.pop();
+        let Some(source) = self.asked else {
+            return;
         };
-        let undecided = self.undecided();
-        let value = known.map(|known| known.value.clone()).or_else(sent);
-        match value.filter(|value| value.members_version == self.list.version) {
-            Some(value) => ReadOutcome::Chosen {
-                chosen: Chosen { proposal, value },
-                as_of: self.started,
-            },
-            None => undecided,
-        }
+        let read = ControlMessage::Read(Read {
+            nonce,
+            wanted: self.proposal,
+        });
+        effects.control(source, read);
     }
 }
--- a/crates/cluster/control-plane/src/register.rs
+++ b/crates/cluster/control-plane/src/register.rs
@@ -7,8 +7,6 @@
 
 mod messages;
 
-use std::sync::Arc;
-
 use sagetrail_protocol::control::{ControlMessage, Learned, ProposalNumber};
 use sagetrail_protocol::{Blob, Incarnation, NodeId, Time};
 
@@ -17,13 +15,13 @@
 use crate::change_function::{ChangeFunction, ChangeOutcome};
 use crate::changes_fetch::ChangesFetch;
 use crate::effects::Effects;
+use crate::held_values::HeldValues;
 use crate::persisted::{AcceptorNumbers, ControlState};
 use crate::proposer::Proposer;
 use crate::quorum::MemberList;
 use crate::quorum_read::{QuorumReader, ReadOutcome};
 use crate::register_view::{Chosen, RegisterView};
 use crate::timing::POLL_MS;
-use crate::value::RegisterValue;
 
 /// The most processes that wait for a notice that a proposal number is learned.
 const MAX_LEARN_WAITERS: usize = 64;
@@ -192,11 +190,7 @@
 
     /// The accepted value of this process as a chosen one.
     pub(crate) fn accepted_value(&self) -> Option<Chosen> {
-        let value = RegisterValue::decode(&self.acceptor.value).ok()?;
-        Some(Chosen {
-            proposal: self.acceptor.proposals.accepted,
-            value: Arc::new(value),
-        })
+        self.acceptor.accepted_value()
     }
 
     /// Takes a value that other processes hold and that is being written here.
@@ -269,7 +263,11 @@
         effects: &mut Effects,
     ) -> Option<ViewUpdate> {
         if demand.may_propose {
-            self.proposer.tick(now, &self.view, effects);
+            let held = HeldValues {
+                acceptor: &self.acceptor,
+                view: &self.view,
+            };
+            self.proposer.tick(now, &held, effects);
         }
         let outcome = self.reader.tick(now, effects);
         let update = outcome.and_then(|outcome| self.read_finished(now, outcome, effects));
@@ -303,7 +301,7 @@
                 self.proposer.observe_list(own.value.member_list());
                 self.proposer.push(ChangeFunction::Identity);
             }
-            None => self.reader.start(now, &self.view, effects),
+            None => self.reader.start(now, &self.view.list, effects),
         }
     }
 
--- a/crates/cluster/control-plane/src/round.rs
+++ b/crates/cluster/control-plane/src/round.rs
@@ -55,7 +55,7 @@
     pub proposal: ProposalNumber,
     /// The members that prepare.
     pub list: MemberList,
-    /// The chosen value known at the start: acceptors that hold the same one don't send it.
+    /// The newest value held at the start: acceptors that hold the same one don't send it.
     known: Option<Chosen>,
     pub started: Time,
     pub sent_at: Time,
--- a/crates/cluster/control-plane/tests/accept_phase.rs
+++ b/crates/cluster/control-plane/tests/accept_phase.rs
@@ -177,3 +177,49 @@
         matches!(&committed[..], [ControlMessage::Promise(promised)] if promised.accepted == on)
     );
 }
+
+/// All that the members send each other in the seconds after all lost power, with a value of over 50,000 bytes.
+const RESTART_BYTES: u64 = 60_000;
+/// The same for a member that comes back without the value: it is sent once, with room for the other messages.
+const CATCH_UP_VALUES: u64 = 2;
+
+/// The bytes of the encoded value that the member's disk holds.
+fn value_bytes(cluster: &Cluster, index: usize) -> u64 {
+    cluster.machines[index].disk.control[&b"value"[..]].len() as u64
+}
+
+#[test]
+fn members_that_hold_the_value_are_not_sent_it_after_a_loss_of_power() {
+    let mut cluster = with_large_config(4);
+    assert!(value_bytes(&cluster, 0) > RESTART_BYTES / 2);
+    (0..3).for_each(|index| cluster.power_off(index));
+    cluster.run(200);
+    let before = cluster.sent_bytes;
+    (0..3).for_each(|index| cluster.start(index, false));
+    cluster.run(3_000);
+    let bytes = cluster.sent_bytes - before;
+    assert!(
+        bytes < RESTART_BYTES,
+        "{bytes} bytes after the loss of power"
+    );
+    for index in 0..3 {
+        assert_eq!(cluster.read_back(index), Some(1));
+    }
+}
+
+#[test]
+fn a_member_that_lacks_the_value_is_sent_it_by_one_other() {
+    let mut cluster = with_large_config(5);
+    cluster.power_off(2);
+    let mut operators = Operators::new(Answering::Sound);
+    let changed = operators.send_until_answered(&mut cluster, 0, &patch(1, 2, "away"));
+    assert_eq!(changed, 200);
+    cluster.run(1_000);
+    let before = cluster.sent_bytes;
+    cluster.start(2, false);
+    cluster.run(3_000);
+    let bytes = cluster.sent_bytes - before;
+    let limit = CATCH_UP_VALUES * value_bytes(&cluster, 0);
+    assert!(bytes < limit, "{bytes} bytes, {limit} allowed");
+    assert_eq!(cluster.read_back(2), Some(2));
+}
--- a/crates/cluster/protocol/src/control/register.rs
+++ b/crates/cluster/protocol/src/control/register.rs
@@ -109,24 +109,24 @@
     pub promised: ProposalNumber,
 }
 
-/// Asks for the accepted value without a promise. Sent by a core process that reads the configuration at a quorum;
-/// answered by [`ReadReply`].
+/// Asks for the number of the accepted value without a promise, and for the value itself only where the reader names it.
+/// Sent by a core process that reads the configuration at a quorum; answered by [`ReadReply`].
 #[derive(DekuRead, DekuWrite, Clone, PartialEq, Eq, Debug)]
 pub struct Read {
     /// Matches replies with this read.
     pub nonce: u64,
-    /// The number of the value that the reader holds already; zero for none.
-    pub known: ProposalNumber,
+    /// The number of the value that the reader wants to be sent; zero for none.
+    pub wanted: ProposalNumber,
 }
 
-/// The accepted value. Answers [`Read`].
+/// What the sender has accepted. Answers [`Read`].
 #[derive(DekuRead, DekuWrite, Clone, PartialEq, Eq, Debug)]
 pub struct ReadReply {
     /// As in the request.
     pub nonce: u64,
     /// The number of the sender's accepted value; zero for none.
     pub accepted: ProposalNumber,
-    /// The accepted value; empty where the reader has it or there is none.
+    /// The accepted value where it is the one that the reader wants; else empty.
     pub value: Blob,
 }
 
--- a/crates/cluster/protocol/tests/examples/control.rs
+++ b/crates/cluster/protocol/tests/examples/control.rs
@@ -119,7 +119,7 @@
         }),
         ControlMessage::Read(Read {
             nonce: 0x1901,
-            known: proposal(0x19),
+            wanted: proposal(0x19),
         }),
         ControlMessage::ReadReply(ReadReply {
             nonce: 0x1a01,
