control-plane: every field is documented; differing reads and local values have files of their own

Change: doc comments; DifferingReads in differing_reads.rs; HeldValues is LocalValues. No behaviour.

--- a/crates/cluster/control-plane/src/change.rs
+++ b/crates/cluster/control-plane/src/change.rs
@@ -10,6 +10,7 @@
 /// A change of the configuration as the operator sent it.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub(crate) struct Change {
+    /// Whether `body` is a full configuration or a patch.
     pub kind: ChangeKind,
     /// The configuration's version on which the operator built the change.
     pub base: u64,
--- a/crates/cluster/control-plane/src/change_function.rs
+++ b/crates/cluster/control-plane/src/change_function.rs
@@ -53,6 +53,7 @@
 pub(crate) struct Transition {
     /// The next value; `None` leaves the value as it is.
     pub next: Option<RegisterValue>,
+    /// What became of the function.
     pub outcome: ChangeOutcome,
 }
 
--- a/crates/cluster/control-plane/src/election.rs
+++ b/crates/cluster/control-plane/src/election.rs
@@ -26,11 +26,13 @@
 /// An election that was won.
 #[derive(Debug)]
 pub(crate) struct Elected {
+    /// The term that the process leads from now on.
     pub term: Term,
     /// The newest records among the voters, on which the term builds.
     pub base: RecordsPosition,
     /// A voter that has them; this process where it has them itself.
     pub source: NodeId,
+    /// The votes that won it, by voter.
     pub votes: BTreeMap<NodeId, Vote>,
 }
 
--- a/crates/cluster/control-plane/src/leadership.rs
+++ b/crates/cluster/control-plane/src/leadership.rs
@@ -35,7 +35,9 @@
 /// The leader's state in its term.
 pub(crate) struct Leadership {
     node: NodeId,
+    /// The term, won by this process.
     pub term: Term,
+    /// When it was won.
     pub elected_at: Time,
     /// The term ends at this moment, unless a majority grants the lease again.
     pub lease_until: Time,
--- a/crates/cluster/control-plane/src/held_values.rs
+++ b/crates/cluster/control-plane/src/local_values.rs
@@ -11,12 +11,14 @@
 
 /// What the acceptor and the learner of one process hold.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct HeldValues<'a> {
+pub(crate) struct LocalValues<'a> {
+    /// The process's acceptor.
     pub acceptor: &'a Acceptor,
+    /// What the process knows of the chosen values.
     pub view: &'a RegisterView,
 }
 
-impl HeldValues<'_> {
+impl LocalValues<'_> {
     /// The value of this proposal number.
     pub(crate) fn value(&self, proposal: ProposalNumber) -> Option<Arc<RegisterValue>> {
         let learned = self
--- a/crates/cluster/control-plane/src/persisted.rs
+++ b/crates/cluster/control-plane/src/persisted.rs
@@ -24,7 +24,9 @@
 /// The highest term that was promised, and the process to which it was.
 #[derive(DekuRead, DekuWrite, Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct TermPromise {
+    /// The highest term that was promised.
     pub term: Term,
+    /// The candidate to which it was promised.
     pub node: NodeId,
     /// 0 where the process is known as the term's leader only.
     pub incarnation: Incarnation,
@@ -33,6 +35,7 @@
 /// The replica's own state on disk.
 #[derive(DekuRead, DekuWrite, Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct ReplicaState {
+    /// The newest promise of a term.
     pub promise: TermPromise,
     /// Of the newest batch that was applied.
     pub position: RecordsPosition,
@@ -74,10 +77,13 @@
 /// The state of a core process on its disk.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ControlState {
+    /// What the acceptor has promised and accepted.
     pub proposals: AcceptorNumbers,
     /// The accepted value, encoded.
     pub value: Blob,
+    /// What the replica has promised and holds.
     pub replica: ReplicaState,
+    /// The newest member list that was known.
     pub members: StoredMembers,
 }
 
--- a/crates/cluster/control-plane/src/proposer.rs
+++ b/crates/cluster/control-plane/src/proposer.rs
@@ -4,7 +4,7 @@
 use crate::accepted_changes::AcceptedChanges;
 use crate::change_function::{ChangeFunction, ChangeOutcome};
 use crate::effects::Effects;
-use crate::held_values::HeldValues;
+use crate::local_values::LocalValues;
 use crate::quorum::MemberList;
 use crate::register_view::Chosen;
 use crate::round::{Phase, Round};
@@ -22,7 +22,9 @@
 /// A change function whose outcome is known.
 #[derive(Debug)]
 pub(crate) struct Decision {
+    /// The function.
     pub function: ChangeFunction,
+    /// What became of it.
     pub outcome: ChangeOutcome,
     /// The value that is chosen now.
     pub chosen: Chosen,
@@ -128,13 +130,13 @@
     }
 
     /// Starts rounds, sends again what had no answer, and gives up rounds that last too long.
-    pub(crate) fn tick(&mut self, now: Time, held: &HeldValues, effects: &mut Effects) {
-        if self.queue.is_empty() || held.view.list.version == 0 {
+    pub(crate) fn tick(&mut self, now: Time, local: &LocalValues, effects: &mut Effects) {
+        if self.queue.is_empty() || local.view.list.version == 0 {
             return;
         }
         let Some(round) = &mut self.round else {
             if now >= self.retry_at {
-                self.start(now, held, effects);
+                self.start(now, local, effects);
             }
             return;
         };
@@ -146,20 +148,20 @@
         }
     }
 
-    fn start(&mut self, now: Time, held: &HeldValues, effects: &mut Effects) {
+    fn start(&mut self, now: Time, local: &LocalValues, effects: &mut Effects) {
         self.counter += 1;
         let proposal = ProposalNumber {
             counter: self.counter,
             node: self.node,
             incarnation: self.incarnation,
         };
-        let known_list = &held.view.list;
+        let known_list = &local.view.list;
         let list = if self.newer_list.version > known_list.version {
             self.newer_list.clone()
         } else {
             known_list.clone()
         };
-        let round = Round::new(now, proposal, list, held.newest());
+        let round = Round::new(now, proposal, list, local.newest());
         round.send(effects);
         self.round = Some(round);
     }
--- a/crates/cluster/control-plane/src/quorum_read.rs
+++ b/crates/cluster/control-plane/src/quorum_read.rs
@@ -6,7 +6,7 @@
 //! have accepted it.
 
 use crate::effects::Effects;
-use crate::held_values::HeldValues;
+use crate::local_values::LocalValues;
 use crate::quorum::MemberList;
 use crate::register_view::Chosen;
 use crate::timing::{RESEND_MS, ROUND_MS};
@@ -121,7 +121,7 @@
         now: Time,
         from: NodeId,
         reply: ReadReply,
-        held: &HeldValues,
+        local: &LocalValues,
         effects: &mut Effects,
     ) -> Option<ReadOutcome> {
         let read = self
@@ -136,7 +136,7 @@
         }
         read.accepted.insert(from, reply.accepted);
         if let Some(proposal) = read.chosen_proposal() {
-            let Some(value) = held.value(proposal) else {
+            let Some(value) = local.value(proposal) else {
                 read.begin_fetch(now, proposal, effects);
                 return None;
             };
--- a/crates/cluster/control-plane/src/recovery.rs
+++ b/crates/cluster/control-plane/src/recovery.rs
@@ -17,7 +17,9 @@
 /// What the others know: the state with which the member takes part again.
 #[derive(Debug)]
 pub(crate) struct Recovered {
+    /// The numbers that the acceptor goes on with.
     pub proposals: AcceptorNumbers,
+    /// The newest accepted value among the replies, encoded.
     pub value: Blob,
     /// The highest term that one of them has promised.
     pub term: Term,
--- a/crates/cluster/control-plane/src/register.rs
+++ b/crates/cluster/control-plane/src/register.rs
@@ -14,8 +14,9 @@
 use crate::acceptor::Acceptor;
 use crate::change_function::{ChangeFunction, ChangeOutcome};
 use crate::changes_fetch::ChangesFetch;
+use crate::differing_reads::DifferingReads;
 use crate::effects::Effects;
-use crate::held_values::HeldValues;
+use crate::local_values::LocalValues;
 use crate::persisted::{AcceptorNumbers, ControlState};
 use crate::proposer::Proposer;
 use crate::quorum::MemberList;
@@ -25,11 +26,6 @@
 
 /// The most processes that wait for a notice that a proposal number is learned.
 const MAX_LEARN_WAITERS: usize = 64;
-/// After this many reads in a row that found the same value undecided, a round of the register decides on it: nobody
-/// else is about to.
-const MAX_STALLED_READS: u32 = 2;
-/// The same for reads in a row that found any value undecided.
-const MAX_DIFFERING_READS: u32 = 8;
 /// The next read follows one whose replies differed after this time, in milliseconds.
 const REREAD_MS: u64 = 50;
 /// The most accepted changes in one reply.
@@ -97,33 +93,6 @@
     pub now: Time,
 }
 
-/// Reads in a row whose replies differed.
-#[derive(Clone, Copy, Debug, Default)]
-struct DifferingReads {
-    /// How many there were.
-    count: u32,
-    /// How many of the last ones found the same newest proposal number. Where it rises, another process is proposing, and a
-    /// round would only compete with it.
-    stalled: u32,
-    newest: ProposalNumber,
-}
-
-impl DifferingReads {
-    fn record(&mut self, newest: ProposalNumber) {
-        self.count += 1;
-        self.stalled = if newest == self.newest {
-            self.stalled + 1
-        } else {
-            1
-        };
-        self.newest = newest;
-    }
-
-    fn need_a_round(&self) -> bool {
-        self.stalled >= MAX_STALLED_READS || self.count >= MAX_DIFFERING_READS
-    }
-}
-
 /// The register at one process.
 #[derive(Debug)]
 pub(crate) struct Register {
@@ -263,11 +232,11 @@
         effects: &mut Effects,
     ) -> Option<ViewUpdate> {
         if demand.may_propose {
-            let held = HeldValues {
+            let local = LocalValues {
                 acceptor: &self.acceptor,
                 view: &self.view,
             };
-            self.proposer.tick(now, &held, effects);
+            self.proposer.tick(now, &local, effects);
         }
         let outcome = self.reader.tick(now, effects);
         let update = outcome.and_then(|outcome| self.read_finished(now, outcome, effects));
--- a/crates/cluster/control-plane/src/register/messages.rs
+++ b/crates/cluster/control-plane/src/register/messages.rs
@@ -10,7 +10,7 @@
 use super::{MAX_CHANGES_IN_REPLY, MAX_LEARN_WAITERS};
 use crate::change_function::{ChangeFunction, ChangeOutcome};
 use crate::effects::Effects;
-use crate::held_values::HeldValues;
+use crate::local_values::LocalValues;
 use crate::proposer::Decision;
 
 /// Messages to the acceptor. Only a process that knows what it has promised may answer them.
@@ -95,11 +95,11 @@
         reply: ReadReply,
         effects: &mut Effects,
     ) -> Option<ViewUpdate> {
-        let held = HeldValues {
+        let local = LocalValues {
             acceptor: &self.acceptor,
             view: &self.view,
         };
-        let outcome = self.reader.on_reply(now, from, reply, &held, effects)?;
+        let outcome = self.reader.on_reply(now, from, reply, &local, effects)?;
         self.read_finished(now, outcome, effects)
     }
 
--- a/crates/cluster/control-plane/src/replica.rs
+++ b/crates/cluster/control-plane/src/replica.rs
@@ -20,7 +20,9 @@
 /// The term that this replica follows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FollowedTerm {
+    /// The term.
     pub term: Term,
+    /// The process that leads it.
     pub leader: NodeId,
     /// The state on which the term builds.
     base: RecordsPosition,
@@ -45,6 +47,7 @@
     pub state: ReplicaState,
     /// The newest position that is surely on disk; at most `state.position`.
     pub synced: RecordsPosition,
+    /// The records, with all batches up to `state.position` applied.
     pub records: Records,
     /// No term is promised before: a lease may be running.
     pub lease_until: Time,
--- a/crates/cluster/control-plane/src/round.rs
+++ b/crates/cluster/control-plane/src/round.rs
@@ -28,6 +28,7 @@
 /// The accept phase: a value, and the acceptors that have it on disk.
 #[derive(Debug)]
 pub(crate) struct AcceptPhase {
+    /// The value that is to be accepted.
     pub value: Arc<RegisterValue>,
     /// `value`, encoded.
     bytes: Blob,
@@ -52,13 +53,17 @@
 /// A round under way.
 #[derive(Debug)]
 pub(crate) struct Round {
+    /// The number under which the round runs.
     pub proposal: ProposalNumber,
     /// The members that prepare.
     pub list: MemberList,
     /// The newest value held at the start: acceptors that hold the same one don't send it.
     known: Option<Chosen>,
+    /// When the prepare phase began.
     pub started: Time,
+    /// When the phase's message was last sent.
     pub sent_at: Time,
+    /// Where the round stands.
     pub phase: Phase,
 }
 
--- a/crates/cluster/control-plane/src/snapshot_transfer.rs
+++ b/crates/cluster/control-plane/src/snapshot_transfer.rs
@@ -13,7 +13,9 @@
 /// The complete records of a snapshot that was transferred.
 #[derive(Debug)]
 pub(crate) struct TransferredSnapshot {
+    /// The newest batch in it.
     pub position: RecordsPosition,
+    /// All records.
     pub records: Records,
 }
 
