control-plane: a round that only completes another's gives way where it is rejected

Cause: members that find a value undecided run rounds with the identity function, and each took its round up again after a pause of 20 to 320 ms. With a value of 600 kB such a round takes longer than that on the core's links: five members reject each other's rounds for seconds, each sending the value to the others.

Change: a rejected or stalled identity round is dropped. The other round is under way; where it is not, the next reads find the value undecided again, and a round follows twice as many of them after each failure in a row, up to eight times.

--- a/crates/cluster/control-plane/src/differing_reads.rs
+++ b/crates/cluster/control-plane/src/differing_reads.rs
@@ -7,6 +7,8 @@
 const MAX_STALLED_READS: u32 = 2;
 /// The same for reads in a row that found any value undecided.
 const MAX_DIFFERING_READS: u32 = 8;
+/// Each failed round doubles both numbers, this many times at the most.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Reads in a row whose replies differed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,8 +33,11 @@
         self.newest = newest;
     }
 
-    /// Whether a round of this process should decide what the reads leave undecided.
-    pub(crate) fn need_a_round(&self) -> bool {
-        self.stalled >= MAX_STALLED_READS || self.count >= MAX_DIFFERING_READS
+    /// Whether a round of this process should decide what the reads leave undecided. After `failures` of its rounds in
+    /// a row others are competing with it, and it waits longer for them.
+    pub(crate) fn need_a_round(&self, failures: u32) -> bool {
+        let doublings = failures.min(MAX_DOUBLINGS);
+        self.stalled >= MAX_STALLED_READS << doublings
+            || self.count >= MAX_DIFFERING_READS << doublings
     }
 }
--- a/crates/cluster/control-plane/src/proposer.rs
+++ b/crates/cluster/control-plane/src/proposer.rs
@@ -281,8 +281,27 @@
         })
     }
 
+    /// Rounds that failed since the last one that was finished, or since a read found the value chosen.
+    pub(crate) fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// A read found the newest value chosen: nobody competes any more.
+    pub(crate) fn value_is_chosen(&mut self) {
+        if self.queue.is_empty() {
+            self.failures = 0;
+        }
+    }
+
+    /// Ends the round. A change is proposed again after a pause; a round that only completes another proposer's is not:
+    /// that one is under way, and where it is not, the next reads say so. Members that all went on would reject each
+    /// other's rounds for as long as a round, with its value on thin links, takes longer than the pauses.
     fn back_off(&mut self, now: Time) {
         self.round = None;
+        if self.queue.front() == Some(&ChangeFunction::Identity) {
+            self.queue.pop_front();
+            self.accept_sent = false;
+        }
         let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
         let longest = (BACKOFF_MS << doublings).min(BACKOFF_MAX_MS);
         self.failures += 1;
--- a/crates/cluster/control-plane/src/register.rs
+++ b/crates/cluster/control-plane/src/register.rs
@@ -303,6 +303,7 @@
                 let update = self.learn(chosen, effects);
                 self.freshen(now, as_of);
                 self.differing_reads = DifferingReads::default();
+                self.proposer.value_is_chosen();
                 update
             }
             ReadOutcome::Undecided { newest } => {
@@ -315,7 +316,8 @@
     /// Mostly a change is in flight, and the next read finds it chosen. A round would compete with it.
     fn replies_differed(&mut self, now: Time, newest: ProposalNumber) {
         self.differing_reads.record(newest);
-        if !self.differing_reads.need_a_round() {
+        let failures = self.proposer.failures();
+        if !self.differing_reads.need_a_round(failures) {
             self.poll_at = now.plus_millis(REREAD_MS);
             return;
         }
