--- a/crates/cluster/control-plane/tests/support/cluster.rs
+++ b/crates/cluster/control-plane/tests/support/cluster.rs
@@ -2,7 +2,7 @@
 
 use super::journal::{factory, Journal, SharedJournal};
 use super::machine::{apply, Machine};
-use super::network::{Conditions, Tamper, CALM};
+use super::network::{Conditions, Observer, Passage, Tamper, CALM};
 use super::speeds::{Busy, Speeds};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -54,6 +54,9 @@
     pub speeds: Option<Speeds>,
     pub busy: Busy,
     pub tamper: Option<Tamper>,
+    pub observer: Option<Observer>,
+    /// Changes messages as their receiver reads them, after the observer has seen them.
+    pub misreading: Option<Tamper>,
     actions: BTreeMap<(u64, u64), Action>,
     sequence: u64,
     pub(super) next_http: u64,
@@ -93,6 +96,8 @@
             speeds: None,
             busy: Busy::default(),
             tamper: None,
+            observer: None,
+            misreading: None,
             actions: BTreeMap::new(),
             sequence: 0,
             next_http: 1,
@@ -170,12 +175,18 @@
     }
 
     /// Hands an event to the machine's process, later where the machine is frozen.
-    pub(crate) fn event(&mut self, index: usize, event: Event) {
+    pub(crate) fn event(&mut self, index: usize, mut event: Event) {
         if self.machines[index].frozen {
             self.machines[index].deferred.push(event);
             return;
         }
         self.events += 1;
+        if let Event::Message { from, message } = &mut event {
+            self.observe(Passage::Received, *from, id(index), message);
+            if let Some(misread) = &mut self.misreading {
+                misread(*from, id(index), message);
+            }
+        }
         let clock = self.machines[index].clock(self.now);
         let mut outbox = Outbox::default();
         let Some(node) = &mut self.machines[index].node else {
@@ -216,6 +227,12 @@
         self.schedule_wake(index);
     }
 
+    fn observe(&mut self, passage: Passage, from: NodeId, to: NodeId, message: &Message) {
+        if let Some(observer) = &mut self.observer {
+            observer(self.now, passage, from, to, message);
+        }
+    }
+
     fn record_term_starts(&mut self) {
         let journal = self.journal.lock().unwrap();
         let started = &journal.terms[self.term_starts.len()..];
@@ -250,6 +267,7 @@
             self.client_sources.push((self.now, from));
             return;
         }
+        self.observe(Passage::Sent, from, to, &message);
         // Each message must survive its encoding.
         let payload = sagetrail_protocol::frame::encode(&message).unwrap();
         assert_eq!(
--- a/crates/cluster/control-plane/tests/support/network.rs
+++ b/crates/cluster/control-plane/tests/support/network.rs
@@ -25,3 +25,15 @@
 
 /// Changes a message in transit; false loses it.
 pub(crate) type Tamper = Box<dyn FnMut(NodeId, NodeId, &mut Message) -> bool>;
+
+/// Where a message is observed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Passage {
+    /// Its sender has handed it to the network.
+    Sent,
+    /// Its receiver is about to handle it.
+    Received,
+}
+
+/// Sees each message with the true time, its sender and its receiver.
+pub(crate) type Observer = Box<dyn FnMut(u64, Passage, NodeId, NodeId, &Message)>;
