scheduler: runners are filled one after the other, so that large work finds empty ones

Change: a pass visits the fullest runners first (best fit by free GPUs, then processors), at random among equals.

--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -1,7 +1,7 @@
 //! Algorithm 1 of "Probabilistic Network-Aware Task Placement for MapReduce Scheduling" (section II-C): which waiting
 //! task starts at which runner.
 //!
-//! Runners with free capacity are visited in random order. At each, every pending step whose tasks fit gets its cost
+//! Runners with free capacity are visited from the fullest on. At each, every pending step whose tasks fit gets its cost
 //! there and its mean cost over the available runners; the largest P = 1 - e^(-mean/cost) wins, ties go to the first
 //! in the backlog. Below `P_MIN`, or on losing the coin, the runner is skipped for another, as in delay scheduling
 //! (Zaharia et al., EuroSys 2010) work waits for a runner near its data. What all runners skipped in one pass takes
@@ -37,7 +37,7 @@
 
 /// One pass over the available runners and the pending steps of a service. Steps and runners are named by their index.
 pub struct Pass<'a, R: Rng> {
-    /// In the random order in which they are visited.
+    /// In the order in which they are visited: the fullest first, at random among equals.
     runners: Vec<AvailableRunner>,
     /// In the order of the backlog.
     steps: Vec<PendingStep>,
@@ -61,6 +61,8 @@
         random: &'a mut R,
     ) -> Pass<'a, R> {
         runners.shuffle(random);
+        // Best fit: work that needs a whole runner, or several, finds them as long as small work leaves them empty.
+        runners.sort_by_key(|runner| (runner.free.gpu, runner.free.cpu));
         let mut free = Resources::default();
         runners
             .iter()
--- /dev/null
+++ b/crates/cluster/scheduler/tests/packing.rs
@@ -0,0 +1,28 @@
+//! Small work fills runners one after the other.
+
+mod test_cluster;
+
+use test_cluster::TestCluster;
+
+const A: &str = "00000000000000aa";
+
+#[test]
+fn small_work_leaves_whole_runners_to_large_work() {
+    let mut cluster = TestCluster::new(4);
+    for number in 0..4u64 {
+        cluster.submit(
+            &format!("{number:016x}"),
+            r#"{"stages":[{"count":1,"cpu":1000}]}"#,
+        );
+        cluster.commit();
+        cluster.execute_commands();
+    }
+    let first = cluster.running()[0].node;
+    assert!(cluster.running().iter().all(|run| run.node == first));
+    cluster.submit(A, r#"{"stages":[{"count":3,"cpu":4000,"gang":true}]}"#);
+    cluster.commit();
+    cluster.execute_commands();
+    let running = cluster.running();
+    let members = running.iter().filter(|run| run.task.starts_with(A));
+    assert_eq!(members.count(), 3);
+}
