--- a/crates/cluster/scheduler/benches/placement.rs
+++ b/crates/cluster/scheduler/benches/placement.rs
@@ -29,6 +29,7 @@
         labels: vec!["a".to_owned(), format!("r1-{}", number / RUNNERS_PER_RACK)].into(),
         reservation: None,
         max_starts: u32::MAX,
+        straggler: false,
     };
     (0..count).map(runner).collect()
 }
@@ -51,6 +52,7 @@
         long_running: false,
         rack_local: false,
         pending_ms: 0,
+        takes_stragglers: false,
         affinity: if number.is_multiple_of(2) {
             format!("r1-{}", number % 4)
         } else {
--- a/crates/cluster/scheduler/src/lib.rs
+++ b/crates/cluster/scheduler/src/lib.rs
@@ -75,6 +75,7 @@
 mod reservation;
 mod reserved_capacity;
 mod runner;
+mod runner_pace;
 mod runner_table;
 mod scheduler;
 mod spec;
--- a/crates/cluster/scheduler/src/placement/inputs.rs
+++ b/crates/cluster/scheduler/src/placement/inputs.rs
@@ -22,6 +22,8 @@
     pub reservation: Option<Reservation>,
     /// At most so many further starts: a suspect runner is tried with one.
     pub max_starts: u32,
+    /// It works much slower than others: it is for steps that take any runner.
+    pub straggler: bool,
 }
 
 impl AvailableRunner {
@@ -50,6 +52,8 @@
     pub rack_local: bool,
     /// How long it has been pending, in milliseconds.
     pub pending_ms: u64,
+    /// It has waited for so long that it takes stragglers too.
+    pub takes_stragglers: bool,
     /// The rack of its data; empty for none.
     pub affinity: String,
     /// Labels that a runner must have.
--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -170,7 +170,8 @@
         let reserved_for_other = runner.reservation.is_some_and(|reservation| {
             reservation.step != step.id && reservation.priority <= step.priority
         });
-        step.has_task_for(runner.node)
+        (step.takes_stragglers || !runner.straggler)
+            && step.has_task_for(runner.node)
             && self.leaves_reserved_capacity(step)
             && !reserved_for_other
             && runner.max_starts > 0
--- a/crates/cluster/scheduler/src/runner.rs
+++ b/crates/cluster/scheduler/src/runner.rs
@@ -9,6 +9,7 @@
 use crate::capacity;
 use crate::ids::TaskId;
 use crate::outlier_ejection::RunnerHealth;
+use crate::runner_pace::{RunProgress, RunnerPace};
 
 /// How much faster one steady clock may run than another, as a part of the time measured.
 const MAX_CLOCK_DRIFT: f64 = 0.03;
@@ -46,6 +47,8 @@
     pub percent: u8,
     /// When its progress last changed.
     pub progressed_at: Time,
+    /// Its progress from report to report.
+    pub progress: RunProgress,
 }
 
 impl Assignment {
@@ -62,6 +65,7 @@
             assigned_at: now,
             percent: 0,
             progressed_at: now,
+            progress: RunProgress::default(),
         }
     }
 
@@ -152,6 +156,8 @@
     pub observed: u64,
     /// Evidence for or against it.
     pub health: RunnerHealth,
+    /// How fast it works.
+    pub pace: RunnerPace,
 }
 
 impl Runner {
@@ -179,6 +185,7 @@
             uncommitted_ends: VecDeque::new(),
             observed: 0,
             health: RunnerHealth::default(),
+            pace: RunnerPace::default(),
         }
     }
 
@@ -247,5 +254,6 @@
         self.uncommitted_ends.clear();
         self.unknown_runs.clear();
         self.health = RunnerHealth::default();
+        self.pace = RunnerPace::default();
     }
 }
--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod run_outcome;
 mod runner_commands;
 mod runner_reports;
+mod stragglers;
 mod stuck_runs;
 mod urgent_demand;
 
@@ -122,6 +123,7 @@
     /// The periodic check of everything that changes by time alone.
     fn check_all(&mut self, now: Now) {
         self.expire_unreachable_runners(now);
+        self.judge_paces(now);
         self.relocate_runs(now);
         self.reorder_pending_steps();
         self.place(now);
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -4,17 +4,21 @@
 use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 
+use super::stragglers::expected_run_ms;
 use super::{Scheduler, PENDING_STEPS_PER_PASS};
 use crate::capacity::fits;
 use crate::ids::{StepId, TaskId};
 use crate::pending_queue::PendingKey;
 use crate::placement::{AvailableRunner, Pass, PendingStep, Placement};
 use crate::runner::{Assignment, Runner};
+use crate::runner_pace::RunProgress;
 use crate::spec::Stage;
 use crate::step_run::{AssignedRun, StepRun, Task};
 
 /// A step that has been pending for so long no longer avoids runners at which its tasks failed, in milliseconds.
 const FAILED_RUNNER_AVOIDANCE_MS: u64 = 2_500;
+/// A step that has been pending for so long takes stragglers too, in milliseconds.
+const STRAGGLER_AVOIDANCE_MS: u64 = 1_500;
 /// Outlier ejection is off while more than one in this number of reachable runners of a service is suspect.
 const MAX_EJECTED_DIVISOR: usize = 3;
 
@@ -35,17 +39,12 @@
         if runners.is_empty() {
             return;
         }
-        let fits_somewhere = |step: &PendingStep| {
-            runners
-                .iter()
-                .any(|runner| fits(step.resources, runner.free))
-        };
         let steps: Vec<PendingStep> = self
             .pending
             .first(service, PENDING_STEPS_PER_PASS)
             .into_iter()
             .filter_map(|key| self.pending_step(now, key))
-            .filter(fits_somewhere)
+            .filter(|step| may_start_somewhere(step, &runners))
             .collect();
         let reserved = self.reserved_capacity.of_service(service);
         let placements = Pass::new(runners, steps, reserved, &mut self.random).run();
@@ -77,10 +76,11 @@
                     .get(node)
                     .filter(|reservation| self.pending.contains(reservation.step)),
                 max_starts: if ejection_off || runner.health.is_healthy() {
-                    u32::MAX
+                    runner.pace.max_starts(runner.assigned.len())
                 } else {
                     1
                 },
+                straggler: runner.pace.is_straggler(),
             })
             .filter(|available| available.free.cpu > 0)
             .collect()
@@ -106,6 +106,7 @@
             long_running: stage.long_running,
             rack_local: stage.rack_local,
             pending_ms,
+            takes_stragglers: pending_ms >= STRAGGLER_AVOIDANCE_MS,
             affinity: stage.affinity.clone(),
             constraints: stage.constraints.clone(),
             anti_affinity: stage.anti_affinity,
@@ -165,11 +166,16 @@
         task.runner = Some(node);
         let attempt = task.attempt;
         step.waiting.remove(&id.index);
+        let far_x = self.settings.bounds.far_x;
+        let Some(stage) = job.stage(id.step) else {
+            return;
+        };
         let Some(runner) = self.runners.get_mut(node) else {
             return;
         };
         runner.health.started();
-        let assignment = Assignment::new(attempt, resources, now.steady);
+        let mut assignment = Assignment::new(attempt, resources, now.steady);
+        assignment.progress = RunProgress::new(expected_run_ms(stage, runner, far_x));
         runner.assigned.insert(id, assignment);
         let batch = self.write_task(id);
         if let Some(assignment) = self.runners.assignment_mut(run) {
@@ -180,6 +186,14 @@
     }
 }
 
+/// True where any runner has free capacity for a task of the step.
+fn may_start_somewhere(step: &PendingStep, runners: &[AvailableRunner]) -> bool {
+    let is_open = |runner: &AvailableRunner| {
+        fits(step.resources, runner.free) && (step.takes_stragglers || !runner.straggler)
+    };
+    runners.iter().any(is_open)
+}
+
 /// The waiting task to start at a runner: the first that has not failed there, else the first.
 fn task_to_start(step: &StepRun, node: NodeId) -> Option<u32> {
     let avoids = |index: &u32| step.tasks[*index as usize].failed_at.contains(&node);
--- a/crates/cluster/scheduler/src/scheduler/runner_reports.rs
+++ b/crates/cluster/scheduler/src/scheduler/runner_reports.rs
@@ -11,6 +11,8 @@
 use crate::runner::{RecordedEnd, Runner};
 use crate::step_run::AssignedRun;
 
+const MICROS_PER_MS: u64 = 1_000;
+
 impl Scheduler {
     /// Takes in a report and answers it with commands.
     pub(super) fn runner_report(&mut self, now: Now, from: NodeId, report: RunnerReport) {
@@ -101,17 +103,29 @@
         if report.lease_expired {
             return;
         }
+        let mut progresses = Vec::new();
+        let reported_at = heartbeat_sent_at(report);
         for run in report.active.iter() {
             let id = TaskId::parse(&run.task);
             let assignment = id.and_then(|id| runner.assigned.get_mut(&id));
             match assignment.filter(|assignment| assignment.attempt == run.attempt) {
-                Some(assignment) => assignment.set_active(run.percent, now.steady),
+                Some(assignment) => {
+                    assignment.set_active(run.percent, now.steady);
+                    let progress = assignment.progress.advance(reported_at, run.percent);
+                    progresses.extend(progress);
+                }
                 None => runner.unknown_runs.push(StopCommand {
                     task: run.task.clone(),
                     attempt: run.attempt,
                 }),
             }
         }
+        // What is slow from its start is no straggler.
+        if report.slow_start_remaining_ms == 0 {
+            for progress in progresses {
+                runner.pace.record(now.steady, progress);
+            }
+        }
         if !runner.unknown_runs.is_empty() {
             self.runners.set_changed(from);
         }
@@ -254,6 +268,12 @@
     }
 }
 
+/// When the runner sent the heartbeat on which a report builds, by the agent's steady clock, in microseconds.
+fn heartbeat_sent_at(report: &RunnerReport) -> u64 {
+    let since_heartbeat_us = report.since_heartbeat_ms.saturating_mul(MICROS_PER_MS);
+    report.sent_at.saturating_sub(since_heartbeat_us)
+}
+
 /// Takes over what a report says of the runner itself.
 fn update_attributes(runner: &mut Runner, report: &RunnerReport) {
     let labels = || report.labels.iter().map(|label| &label.0);
--- a/crates/cluster/scheduler/src/scheduler/stuck_runs.rs
+++ b/crates/cluster/scheduler/src/scheduler/stuck_runs.rs
@@ -28,8 +28,8 @@
 impl Scheduler {
     /// Stops runs that should move elsewhere.
     pub(super) fn relocate_runs(&mut self, now: Now) {
-        let relocations = self.relocations(now);
-        for AssignedRun { task, node } in relocations.stalled {
+        let mut relocations = self.relocations(now);
+        for AssignedRun { task, node } in std::mem::take(&mut relocations.stalled) {
             log::info!(
                 "run stalled: term={} job={} task={task} runner={node}",
                 self.term,
@@ -37,6 +37,9 @@
             );
             self.record_failure(now, node, task.step.job);
         }
+        relocations
+            .unwanted
+            .extend(self.runs_to_move_from_stragglers(now));
         for run in relocations.unwanted {
             self.runners.stop(run);
         }
