--- a/crates/cluster/scheduler/benches/placement.rs
+++ b/crates/cluster/scheduler/benches/placement.rs
@@ -50,8 +50,8 @@
         waiting: TASKS_PER_STEP,
         gang: false,
         long_running: false,
-        rack_local: false,
-        pending_ms: 0,
+        holds_for_rack: false,
+        far_tasks: u32::MAX,
         takes_stragglers: false,
         affinity: if number.is_multiple_of(2) {
             format!("r1-{}", number % 4)
--- a/crates/cluster/scheduler/src/placement/gang.rs
+++ b/crates/cluster/scheduler/src/placement/gang.rs
@@ -3,9 +3,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// A rack-local gang waits so long for a rack that can hold it before it is spread, in milliseconds.
-pub(super) const RACK_WAIT_MS: u64 = 1_500;
-
 /// So many tasks of a gang at a runner.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct GangSlots {
--- a/crates/cluster/scheduler/src/placement/inputs.rs
+++ b/crates/cluster/scheduler/src/placement/inputs.rs
@@ -48,10 +48,10 @@
     pub gang: bool,
     /// The tasks go on until the job is cancelled.
     pub long_running: bool,
-    /// The gang is slower when it is spread over racks.
-    pub rack_local: bool,
-    /// How long it has been pending, in milliseconds.
-    pub pending_ms: u64,
+    /// The gang waits for a rack that can hold it, and is not spread yet.
+    pub holds_for_rack: bool,
+    /// How many of its waiting tasks may start away from their data now; the others wait for a near runner.
+    pub far_tasks: u32,
     /// It has waited for so long that it takes stragglers too.
     pub takes_stragglers: bool,
     /// The rack of its data; empty for none.
--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -4,8 +4,8 @@
 //! Runners with free capacity are visited from the fullest on. At each, every pending step whose tasks fit gets its cost
 //! there and its mean cost over the available runners; the largest P = 1 - e^(-mean/cost) wins, ties go to the first
 //! in the backlog. Below `P_MIN`, or on losing the coin, the runner is skipped for another, as in delay scheduling
-//! (Zaharia et al., EuroSys 2010) work waits for a runner near its data. What all runners skipped in one pass takes
-//! its cheapest one. Priorities go before all this; gangs are placed complete.
+//! (Zaharia et al., EuroSys 2010) work waits for a runner near its data; `locality` decides which tasks wait longer than
+//! one pass. What else all runners skipped in one pass takes its cheapest one. Priorities go before all this; gangs are placed complete.
 
 use rand::seq::SliceRandom;
 use rand::Rng;
@@ -13,7 +13,7 @@
 use sagetrail_protocol::agent::Resources;
 use std::ops::Range;
 
-use super::gang::{choose_slots, GangSlots, RackSlots, Spread, RACK_WAIT_MS};
+use super::gang::{choose_slots, GangSlots, RackSlots, Spread};
 use super::inputs::{AvailableRunner, PendingStep, Placement};
 use crate::capacity::{add, fit_count, fits, subtract};
 use crate::reserved_capacity::URGENT;
@@ -166,11 +166,13 @@
 
     /// True where one waiting task of the step may start at the runner.
     fn may_start(&self, step: usize, runner: usize) -> bool {
+        let is_held = self.steps[step].far_tasks == 0 && self.cost(step, runner) > 0.0;
         let (step, runner) = (&self.steps[step], &self.runners[runner]);
         let reserved_for_other = runner.reservation.is_some_and(|reservation| {
             reservation.step != step.id && reservation.priority <= step.priority
         });
-        (step.takes_stragglers || !runner.straggler)
+        !is_held
+            && (step.takes_stragglers || !runner.straggler)
             && step.has_task_for(runner.node)
             && self.leaves_reserved_capacity(step)
             && !reserved_for_other
@@ -189,12 +191,16 @@
     }
 
     fn place(&mut self, step: usize, runner: usize) {
+        let is_far = self.cost(step, runner) > 0.0;
         let step = &mut self.steps[step];
         let runner = &mut self.runners[runner];
         subtract(&mut runner.free, step.resources);
         subtract(&mut self.free, step.resources);
         runner.max_starts -= 1;
         step.waiting -= 1;
+        if is_far {
+            step.far_tasks = step.far_tasks.saturating_sub(1);
+        }
         *step.assigned_at.entry(runner.node).or_default() += 1;
         self.placed.push(Placement {
             step: step.id,
@@ -218,8 +224,7 @@
     /// Places all tasks of a gang or none.
     fn place_gang(&mut self, step: usize) {
         let gang = &self.steps[step];
-        let waits_for_rack = gang.rack_local && gang.pending_ms < RACK_WAIT_MS;
-        let spread = if waits_for_rack {
+        let spread = if gang.holds_for_rack {
             Spread::Forbidden
         } else {
             Spread::Allowed
--- a/crates/cluster/scheduler/src/scheduler/diagnostics.rs
+++ b/crates/cluster/scheduler/src/scheduler/diagnostics.rs
@@ -39,6 +39,7 @@
             let Some(&key) = self.pending.first(&service, 1).first() else {
                 continue;
             };
+            let (mut racks, limit) = self.racks(now, &service);
             let Some(step) = self.jobs.step(key.step) else {
                 continue;
             };
@@ -50,7 +51,7 @@
                 "pending for long: term={} job={} service={service} step={:?}: {}",
                 self.term,
                 key.step.job,
-                self.pending_step(now, key),
+                self.pending_step(now, key, &mut racks, limit),
                 self.describe_runners(now, &service)
             );
         }
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -1,15 +1,18 @@
 //! One placement round: a pass for each service with pending steps, and the assignments it decides on.
 
+use sagetrail_protocol::agent::Resources;
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 
 use super::stragglers::expected_run_ms;
 use super::{Scheduler, PENDING_STEPS_PER_PASS};
-use crate::capacity::fits;
+use crate::capacity::{add, fits};
 use crate::ids::{StepId, TaskId};
 use crate::pending_queue::PendingKey;
-use crate::placement::{AvailableRunner, Pass, PendingStep, Placement};
+use crate::placement::{
+    AvailableRunner, HoldLimit, Pass, PendingStep, Placement, RackDemand, Racks,
+};
 use crate::runner::{Assignment, Runner};
 use crate::runner_pace::RunProgress;
 use crate::spec::Stage;
@@ -39,11 +42,12 @@
         if runners.is_empty() {
             return;
         }
+        let (mut racks, limit) = self.racks(now, service);
         let steps: Vec<PendingStep> = self
             .pending
             .first(service, PENDING_STEPS_PER_PASS)
             .into_iter()
-            .filter_map(|key| self.pending_step(now, key))
+            .filter_map(|key| self.pending_step(now, key, &mut racks, limit))
             .filter(|step| may_start_somewhere(step, &runners))
             .collect();
         let reserved = self.reserved_capacity.of_service(service);
@@ -86,12 +90,43 @@
             .collect()
     }
 
-    /// A pending step as a placement pass needs it.
-    pub(super) fn pending_step(&self, now: Now, key: PendingKey) -> Option<PendingStep> {
+    /// The racks of a service, and how long its work may wait for them.
+    pub(super) fn racks<'a>(&'a self, now: Now, service: &'a str) -> (Racks<'a>, HoldLimit) {
+        let mut racks = Racks::default();
+        let (mut capacity, mut free) = (Resources::default(), Resources::default());
+        for (_, runner) in self.runners.of_service(service) {
+            if runner.is_reachable(now.steady) {
+                racks.add_runner(runner.rack(), runner.capacity);
+                add(&mut capacity, runner.capacity);
+                add(&mut free, runner.free_capacity());
+            }
+        }
+        let far_x = self.settings.bounds.far_x;
+        (racks, HoldLimit::new(far_x, capacity, free))
+    }
+
+    /// A pending step as a placement pass needs it. To be called in the order in which steps are placed.
+    pub(super) fn pending_step(
+        &self,
+        now: Now,
+        key: PendingKey,
+        racks: &mut Racks,
+        limit: HoldLimit,
+    ) -> Option<PendingStep> {
         let job = self.jobs.get(key.step.job)?;
         let (stage, step) = (job.stage(key.step)?, job.step(key.step)?);
         let pending_since = step.waiting_since.max(job.accepted_at);
         let pending_ms = now.steady.millis_since(pending_since);
+        let waiting = step.waiting.len() as u32;
+        let max_hold_ms = limit.of(stage.estimate_ms);
+        let held = racks.hold(RackDemand {
+            rack: &stage.affinity,
+            resources: stage.resources(),
+            estimate_ms: stage.estimate_ms,
+            waiting,
+            pending_ms,
+            max_hold_ms,
+        });
         let avoiding = if pending_ms < FAILED_RUNNER_AVOIDANCE_MS {
             count_avoiding(step)
         } else {
@@ -101,11 +136,13 @@
             id: key.step,
             priority: key.priority,
             resources: stage.resources(),
-            waiting: step.waiting.len() as u32,
+            waiting,
             gang: stage.gang,
             long_running: stage.long_running,
-            rack_local: stage.rack_local,
-            pending_ms,
+            holds_for_rack: stage.rack_local
+                && (pending_ms as f64) < max_hold_ms
+                && racks.can_hold(stage.resources(), waiting),
+            far_tasks: if stage.gang { u32::MAX } else { waiting - held },
             takes_stragglers: pending_ms >= STRAGGLER_AVOIDANCE_MS,
             affinity: stage.affinity.clone(),
             constraints: stage.constraints.clone(),
@@ -186,10 +223,12 @@
     }
 }
 
-/// True where any runner has free capacity for a task of the step.
+/// True where any runner has free capacity for a task of the step, near its data if all its tasks wait for that.
 fn may_start_somewhere(step: &PendingStep, runners: &[AvailableRunner]) -> bool {
     let is_open = |runner: &AvailableRunner| {
-        fits(step.resources, runner.free) && (step.takes_stragglers || !runner.straggler)
+        fits(step.resources, runner.free)
+            && (step.takes_stragglers || !runner.straggler)
+            && (step.far_tasks > 0 || runner.labels.contains(&step.affinity))
     };
     runners.iter().any(is_open)
 }
--- a/crates/cluster/scheduler/src/scheduler/preemption.rs
+++ b/crates/cluster/scheduler/src/scheduler/preemption.rs
@@ -35,12 +35,32 @@
             .expire(now.steady, |step| pending.contains(step));
         for key in self.pending.first(service, STEPS_PER_ROUND) {
             let is_entitled = key.priority == URGENT || self.has_waited(now, key.step);
-            if !self.reservations.has_step(key.step) && is_entitled {
+            let holds = self.holds_for_near_runner(now, service, key.step);
+            if !self.reservations.has_step(key.step) && is_entitled && !holds {
                 self.preempt_for(now, service, key);
             }
         }
     }
 
+    /// True where a step waits for a runner near its data although others have room: it is no reason to stop anybody.
+    fn holds_for_near_runner(&self, now: Now, service: &str, id: StepId) -> bool {
+        let (Some(stage), Some(since)) = (self.jobs.stage(id), self.jobs.waiting_since(id)) else {
+            return false;
+        };
+        if stage.affinity.is_empty() || stage.gang {
+            return false;
+        }
+        let (_, limit) = self.racks(now, service);
+        let pending_ms = now.steady.millis_since(since);
+        let has_room = |(_, runner): (NodeId, &Runner)| {
+            runner.is_usable(now.steady)
+                && !runner.pace.is_straggler()
+                && fits(stage.resources(), runner.free_capacity())
+        };
+        (pending_ms as f64) < limit.of(stage.estimate_ms)
+            && self.runners.of_service(service).any(has_room)
+    }
+
     fn has_waited(&self, now: Now, id: StepId) -> bool {
         let since = self.jobs.waiting_since(id);
         since.is_some_and(|since| now.steady.millis_since(since) >= PREEMPTION_WAIT_MS)
