cluster-node: a full disk no longer ends a core process; refused writes are held

Change: the disk's thread holds refused writes, opens the file again and writes them until they are synced; a failed sync, a corrupted file and 32 MiB held still end the process. A start waits for a full disk without a limit and says so once.

--- a/crates/cluster/cluster-node/src/disk/error.rs
+++ b/crates/cluster/cluster-node/src/disk/error.rs
@@ -19,6 +19,15 @@
     /// The file system refused; it may succeed later.
     #[error("the disk refused: {0}")]
     Io(#[from] io::Error),
+    /// A sync failed: what was written before it may be lost although it can be read.
+    #[error("a sync failed: {0}")]
+    SyncFailed(redb::Error),
+    /// Too much waits for a disk that takes no writes.
+    #[error("{bytes} bytes wait for a disk that takes no writes")]
+    TooMuchPending {
+        /// The size of what waits.
+        bytes: usize,
+    },
 }
 
 impl DiskError {
@@ -53,11 +62,35 @@
         }
     }
 
+    /// The same error as one of a file of which a sync has failed.
+    pub(super) fn with_failed_sync(self, sync_failed: bool) -> DiskError {
+        match self {
+            DiskError::Refused(error) if sync_failed => DiskError::SyncFailed(error),
+            other => other,
+        }
+    }
+
     /// An error in writing: nothing is known about the file in this process any more.
     pub(super) fn refused(error: impl Into<redb::Error>) -> DiskError {
         DiskError::Refused(error.into())
     }
 
+    /// Whether the disk has no room.
+    pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{QuotaExceeded, StorageFull};
+        match self {
+            DiskError::Refused(redb::Error::Io(error)) | DiskError::Io(error) => {
+                matches!(error.kind(), StorageFull | QuotaExceeded)
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether the disk took no writes, for want of room or for any other reason: the same write may succeed later.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, DiskError::Refused(_) | DiskError::Io(_))
+    }
+
     /// Whether the file is at fault and is to be replaced.
     pub(super) fn is_corruption(&self) -> bool {
         matches!(self, DiskError::Corrupted(_) | DiskError::TableMissing)
--- a/crates/cluster/cluster-node/src/disk/file.rs
+++ b/crates/cluster/cluster-node/src/disk/file.rs
@@ -5,22 +5,74 @@
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 use redb::StorageBackend;
 
-/// An open file.
-#[derive(Debug)]
-pub(super) struct LockedFile {
-    file: File,
-}
-
-impl LockedFile {
+/// A file that the database can be kept in.
+pub trait DiskFile: StorageBackend + Sized {
     /// Opens the file, or creates it.
     ///
     /// # Errors
     ///
-    /// `ResourceBusy` where another process has it open; any other error of opening or locking.
-    pub(super) fn open(path: &Path) -> io::Result<LockedFile> {
+    /// Any error of opening; `ResourceBusy` where another process has it open.
+    fn open(path: &Path) -> io::Result<Self>;
+}
+
+/// A file of the file system, locked against a second process.
+#[derive(Debug)]
+pub struct LockedFile {
+    file: File,
+}
+
+/// A file whose failed syncs are remembered: after one, nothing that was written before can be counted on.
+#[derive(Debug)]
+pub(super) struct WatchedFile<F> {
+    file: F,
+    sync_failed: Arc<AtomicBool>,
+}
+
+impl<F: DiskFile> WatchedFile<F> {
+    /// Opens the file. The flag is set with the first failed sync.
+    pub(super) fn open(path: &Path) -> io::Result<(WatchedFile<F>, Arc<AtomicBool>)> {
+        let sync_failed = Arc::new(AtomicBool::new(false));
+        let watched = WatchedFile {
+            file: F::open(path)?,
+            sync_failed: Arc::clone(&sync_failed),
+        };
+        Ok((watched, sync_failed))
+    }
+}
+
+impl<F: DiskFile> StorageBackend for WatchedFile<F> {
+    fn len(&self) -> io::Result<u64> {
+        self.file.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.file.read(offset, out)
+    }
+
+    fn set_len(&self, length: u64) -> io::Result<()> {
+        self.file.set_len(length)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        let synced = self.file.sync_data();
+        if synced.is_err() {
+            self.sync_failed.store(true, Ordering::Relaxed);
+        }
+        synced
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.file.write(offset, data)
+    }
+}
+
+impl DiskFile for LockedFile {
+    fn open(path: &Path) -> io::Result<LockedFile> {
         let file = OpenOptions::new()
             .read(true)
             .write(true)
--- a/crates/cluster/cluster-node/src/disk/store.rs
+++ b/crates/cluster/cluster-node/src/disk/store.rs
@@ -1,7 +1,9 @@
 //! The file: opening it, reading all of it, writing many changes in one transaction.
 
 use std::fs::File;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 use redb::{
     Database, Durability, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction,
@@ -9,7 +11,7 @@
 
 use sagetrail_protocol::node::{DiskImage, DiskOperation, DiskWrite, Table};
 
-use super::file::LockedFile;
+use super::file::{DiskFile, LockedFile, WatchedFile};
 use super::DiskError;
 
 /// The file in the data folder.
@@ -27,9 +29,20 @@
 const CONTROL: Definition = TableDefinition::new("control");
 const RECORDS: Definition = TableDefinition::new("records");
 
+/// Opens the database in a file of some kind.
+type OpenDatabase = fn(&Path) -> Result<OpenFile, DiskError>;
+
 /// The open file.
 pub struct Store {
+    folder: PathBuf,
+    file: OpenFile,
+    open: OpenDatabase,
+}
+
+/// The database and what is known of its file.
+struct OpenFile {
     database: Database,
+    sync_failed: Arc<AtomicBool>,
 }
 
 /// The open file and what was in it.
@@ -50,13 +63,23 @@
     /// [`DiskError::Refused`] or [`DiskError::Io`] where the disk can't be used now, or another process has the file
     /// open. Blocks the thread until the file is read.
     pub fn open(folder: &Path) -> Result<Opened, DiskError> {
-        match Store::open_existing(folder) {
+        Store::open_in::<LockedFile>(folder)
+    }
+
+    /// The same with a file of another kind.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`].
+    pub fn open_in<F: DiskFile>(folder: &Path) -> Result<Opened, DiskError> {
+        let open = open_database::<F>;
+        match Store::open_existing(folder, open) {
             Err(error) if error.is_corruption() => {
                 log::warn!(
                     "disk file replaced: folder={} error={error}",
                     folder.display()
                 );
-                let store = Store::replace(folder)?;
+                let store = Store::replace(folder, open)?;
                 Ok(Opened {
                     store,
                     image: DiskImage::default(),
@@ -68,14 +91,16 @@
     }
 
     /// Replaces a corrupted file by a new one, by rename: until the new one is synced, the corrupted one stays.
-    fn replace(folder: &Path) -> Result<Store, DiskError> {
+    fn replace(folder: &Path, open: OpenDatabase) -> Result<Store, DiskError> {
         let path = folder.join(NEW_FILE_NAME);
         match std::fs::remove_file(&path) {
             Err(error) if error.kind() != std::io::ErrorKind::NotFound => return Err(error.into()),
             _ => {}
         }
         let store = Store {
-            database: open_database(&path)?,
+            folder: folder.to_owned(),
+            file: open(&path)?,
+            open,
         };
         let table = Table::Control;
         let row = DiskOperation::Put {
@@ -92,10 +117,12 @@
         Ok(store)
     }
 
-    fn open_existing(folder: &Path) -> Result<Opened, DiskError> {
+    fn open_existing(folder: &Path, open: OpenDatabase) -> Result<Opened, DiskError> {
         std::fs::create_dir_all(folder)?;
         let store = Store {
-            database: open_database(&folder.join(FILE_NAME))?,
+            folder: folder.to_owned(),
+            file: open(&folder.join(FILE_NAME))?,
+            open,
         };
         let image = match store.read_image()? {
             Some(image) => image,
@@ -116,7 +143,11 @@
 
     /// Both tables, or nothing where they have not been made.
     fn read_image(&self) -> Result<Option<DiskImage>, DiskError> {
-        let transaction = self.database.begin_read().map_err(DiskError::refused)?;
+        let transaction = self
+            .file
+            .database
+            .begin_read()
+            .map_err(DiskError::refused)?;
         let read = |definition| match transaction.open_table(definition) {
             Ok(table) => read_rows(&table).map(Some),
             Err(redb::TableError::TableDoesNotExist(_)) => Ok(None),
@@ -132,13 +163,32 @@
         }
     }
 
+    /// Closes the file. It can be opened again with [`ClosedStore::reopen`].
+    pub fn close(self) -> ClosedStore {
+        ClosedStore {
+            folder: self.folder,
+            open: self.open,
+        }
+    }
+
     /// Applies all writes in one transaction and syncs it.
     ///
     /// # Errors
     ///
-    /// [`DiskError::Refused`]: what is on disk is known only after the file is opened again.
+    /// [`DiskError::Refused`]: nothing more can be written before the file is opened again.
+    /// [`DiskError::SyncFailed`]: nothing that was written since the last sync can be counted on.
     pub fn write(&self, writes: &[DiskWrite]) -> Result<(), DiskError> {
-        let mut transaction = self.database.begin_write().map_err(DiskError::refused)?;
+        let written = self.write_transaction(writes);
+        let sync_failed = self.file.sync_failed.load(Ordering::Relaxed);
+        written.map_err(|error| error.with_failed_sync(sync_failed))
+    }
+
+    fn write_transaction(&self, writes: &[DiskWrite]) -> Result<(), DiskError> {
+        let mut transaction = self
+            .file
+            .database
+            .begin_write()
+            .map_err(DiskError::refused)?;
         transaction
             .set_durability(Durability::Immediate)
             .map_err(DiskError::refused)?;
@@ -148,6 +198,28 @@
     }
 }
 
+/// A store whose file is closed, after a refused write.
+pub struct ClosedStore {
+    folder: PathBuf,
+    open: OpenDatabase,
+}
+
+impl ClosedStore {
+    /// Opens the file again. It holds what was synced before, and no part of the refused write or all of it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`]. A file that cannot be repaired is not replaced here, since this process still counts on what
+    /// it held.
+    pub fn reopen(&self) -> Result<Store, DiskError> {
+        Ok(Store {
+            folder: self.folder.clone(),
+            file: (self.open)(&self.folder.join(FILE_NAME))?,
+            open: self.open,
+        })
+    }
+}
+
 fn read_rows(table: &impl ReadableTable<&'static [u8], &'static [u8]>) -> Result<Rows, DiskError> {
     let mut rows = Vec::new();
     for row in table.iter().map_err(DiskError::from_storage)? {
@@ -190,13 +262,17 @@
     Ok(())
 }
 
-fn open_database(path: &Path) -> Result<Database, DiskError> {
+fn open_database<F: DiskFile>(path: &Path) -> Result<OpenFile, DiskError> {
     let mut builder = Database::builder();
     builder.set_cache_size(CACHE_BYTES);
-    let file = LockedFile::open(path)?;
-    builder
-        .create_with_backend(file)
-        .map_err(DiskError::from_database)
+    let (file, sync_failed) = WatchedFile::<F>::open(path)?;
+    let database = builder.create_with_backend(file).map_err(|error| {
+        DiskError::from_database(error).with_failed_sync(sync_failed.load(Ordering::Relaxed))
+    })?;
+    Ok(OpenFile {
+        database,
+        sync_failed,
+    })
 }
 
 /// Makes a created or renamed file's name durable.
--- a/crates/cluster/cluster-node/src/disk/writer.rs
+++ b/crates/cluster/cluster-node/src/disk/writer.rs
@@ -1,17 +1,23 @@
 //! The disk's thread: takes all pending writes, syncs them as one, reports what waited for them.
 //!
-//! The thread ends when its [`Disk`] is dropped, when the receiver of the inputs is dropped, or with the first failed
-//! write.
+//! A refused write is held, with all that comes behind it, until the disk takes it. The logic needs no notice of that:
+//! to it the disk is slow, and nothing counts before its sync. The thread ends when its [`Disk`] is dropped, when the
+//! receiver of the inputs is dropped, with a failed sync, with a file that is corrupted when it is opened again, and when
+//! too much waits.
 
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Sender};
+use std::time::{Duration, Instant};
 
 use sagetrail_protocol::node::DiskWrite;
 
-use super::{DiskError, Store};
+use super::pending_writes::{PendingWrites, QueueState};
+use super::{ClosedStore, DiskError, Store};
 use crate::input::{Input, Inputs};
 
-/// The most operations in one transaction; a longer sync delays the first write in it.
-const MAX_OPERATIONS: usize = 8192;
+/// The pause before a refused write is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// The most that waits for a disk that takes no writes, in bytes: more would use up the process's memory.
+const MAX_PENDING_BYTES: usize = 32 << 20;
 const THREAD_NAME: &str = "disk";
 const THREAD_STACK_BYTES: usize = 1 << 20;
 
@@ -28,10 +34,15 @@
     /// [`DiskError::Io`] where no thread can be started.
     pub fn start(store: Store, inputs: Inputs) -> Result<Disk, DiskError> {
         let (sender, receiver) = channel();
+        let mut pending = PendingWrites::new(receiver);
         std::thread::Builder::new()
             .name(THREAD_NAME.to_owned())
             .stack_size(THREAD_STACK_BYTES)
-            .spawn(move || run(&store, &receiver, &inputs))?;
+            .spawn(move || {
+                if let Err(error) = run(store, &mut pending, &inputs) {
+                    let _ = inputs.send(Input::DiskFailed(error));
+                }
+            })?;
         Ok(Disk { writes: sender })
     }
 
@@ -41,29 +52,66 @@
     }
 }
 
-fn run(store: &Store, writes: &Receiver<DiskWrite>, inputs: &Inputs) {
-    while let Ok(first) = writes.recv() {
-        let group = collect_pending(first, writes);
-        if let Err(error) = store.write(&group) {
-            // A failed sync proves nothing of any later one on this file: the process must start anew.
-            let _ = inputs.send(Input::DiskFailed(error));
-            return;
+/// Writes until the queue is closed.
+fn run(mut store: Store, pending: &mut PendingWrites, inputs: &Inputs) -> Result<(), DiskError> {
+    while pending.collect() == QueueState::Open {
+        if let Err(error) = store.write(pending.group()) {
+            let Some(reopened) = retry(store, pending, error)? else {
+                return Ok(());
+            };
+            store = reopened;
         }
-        if inputs.send(report(group)).is_err() {
-            return;
+        if inputs.send(report(pending.take_synced())).is_err() {
+            return Ok(());
         }
     }
+    Ok(())
 }
 
-fn collect_pending(first: DiskWrite, writes: &Receiver<DiskWrite>) -> Vec<DiskWrite> {
-    let mut operations = first.operations.len();
-    let mut group = vec![first];
-    while operations < MAX_OPERATIONS {
-        let Ok(next) = writes.try_recv() else { break };
-        operations += next.operations.len();
-        group.push(next);
+/// Holds the refused writes and tries them again until they are synced. `None` where the queue was closed meanwhile:
+/// nobody waits for them any more.
+fn retry(
+    store: Store,
+    pending: &mut PendingWrites,
+    error: DiskError,
+) -> Result<Option<Store>, DiskError> {
+    if !error.is_refusal() {
+        return Err(error);
+    }
+    log::warn!("disk refuses writes, they are held: error={error}");
+    let refused_at = Instant::now();
+    let closed = store.close();
+    loop {
+        if pending.hold_for(RETRY_PAUSE) == QueueState::Closed {
+            return Ok(None);
+        }
+        let bytes = pending.bytes();
+        if bytes > MAX_PENDING_BYTES {
+            return Err(DiskError::TooMuchPending { bytes });
+        }
+        if let Some(store) = try_again(&closed, pending)? {
+            log::info!(
+                "disk takes writes again: refused_ms={} bytes={bytes}",
+                refused_at.elapsed().as_millis()
+            );
+            return Ok(Some(store));
+        }
+    }
+}
+
+/// Opens the file and writes what is held; `None` where that is refused again. Writing it a second time changes nothing:
+/// rows are set and removed, never changed by what they held.
+fn try_again(closed: &ClosedStore, pending: &PendingWrites) -> Result<Option<Store>, DiskError> {
+    let store = match closed.reopen() {
+        Ok(store) => store,
+        Err(error) if error.is_refusal() => return Ok(None),
+        Err(error) => return Err(error),
+    };
+    match store.write(pending.group()) {
+        Ok(()) => Ok(Some(store)),
+        Err(error) if error.is_refusal() => Ok(None),
+        Err(error) => Err(error),
     }
-    group
 }
 
 fn report(group: Vec<DiskWrite>) -> Input {
--- a/crates/cluster/cluster-node/src/retry.rs
+++ b/crates/cluster/cluster-node/src/retry.rs
@@ -15,17 +15,22 @@
 /// The pause between two attempts to bind.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
 
-/// Opens the file on disk, retrying for [`OPEN_TIME`] where the disk fails or is full. Blocks the thread.
+/// Opens the file on disk, retrying for [`OPEN_TIME`] where the disk fails, and as long as it is full: another start
+/// would find it no emptier. Blocks the thread.
 ///
 /// # Errors
 ///
 /// The last attempt's.
 pub(crate) fn open_disk(folder: &Path) -> Result<Opened, DiskError> {
     let started = Instant::now();
+    let mut failed_before = false;
     loop {
         match Store::open(folder) {
-            Err(error) if started.elapsed() < OPEN_TIME => {
-                log::warn!("disk not opened, retrying: error={error}");
+            Err(error) if error.is_full() || started.elapsed() < OPEN_TIME => {
+                if !failed_before {
+                    log::warn!("disk not opened, retrying: error={error}");
+                }
+                failed_before = true;
                 std::thread::sleep(OPEN_PAUSE);
             }
             result => return result,
--- a/crates/cluster/control-plane/tests/support/cluster.rs
+++ b/crates/cluster/control-plane/tests/support/cluster.rs
@@ -1,7 +1,7 @@
 //! A core cluster in simulated time: its machines, network and disks, driven by one queue of actions.
 
 use super::journal::{factory, Journal, SharedJournal};
-use super::machine::{apply, Machine};
+use super::machine::{apply, DiskMode, Machine};
 use super::network::{Conditions, Observer, Passage, Tamper, CALM};
 use super::speeds::{Busy, Speeds};
 use rand::{Rng, SeedableRng};
@@ -363,14 +363,28 @@
         }
     }
 
+    /// Syncs everything that a disk has refused.
+    pub(crate) fn free_disk(&mut self, index: usize) {
+        self.machines[index].disk_mode = DiskMode::Sound;
+        let incarnation = self.machines[index].incarnation;
+        for _ in 0..self.machines[index].unsynced.len() {
+            self.sync(index, incarnation);
+        }
+    }
+
     fn sync(&mut self, machine: usize, incarnation: u64) {
         if self.machines[machine].incarnation != incarnation {
             return;
         }
+        if self.machines[machine].disk_mode == DiskMode::Refusing {
+            return;
+        }
         let Some(write) = self.machines[machine].unsynced.pop_front() else {
             return;
         };
-        apply(&mut self.machines[machine].disk, write.operations);
+        if self.machines[machine].disk_mode == DiskMode::Sound {
+            apply(&mut self.machines[machine].disk, write.operations);
+        }
         let from = self.machines[machine].id;
         for (to, message) in write.send_when_synced {
             self.send(from, to, message);
--- a/crates/cluster/control-plane/tests/support/machine.rs
+++ b/crates/cluster/control-plane/tests/support/machine.rs
@@ -18,12 +18,24 @@
     pub records: Rows,
 }
 
+/// What a disk does with writes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum DiskMode {
+    /// It takes them.
+    Sound,
+    /// It refuses them, or hangs: they are held.
+    Refusing,
+    /// It refuses them, and the process counts them as kept.
+    Lying,
+}
+
 /// A machine and the process on it.
 pub(crate) struct Machine {
     pub id: NodeId,
     /// `None` while no process runs.
     pub node: Option<CoreNode>,
     pub disk: Disk,
+    pub disk_mode: DiskMode,
     /// Writes in order that are not synced yet.
     pub unsynced: VecDeque<DiskWrite>,
     /// Stopped, as by SIGSTOP.
@@ -51,6 +63,7 @@
             id,
             node: None,
             disk: Disk::default(),
+            disk_mode: DiskMode::Sound,
             unsynced: VecDeque::new(),
             frozen: false,
             finished: false,
