scheduler: runners that are drained take work that ends in time, and keep none standing

Change: a reservation by draining says when the last run there ends by estimates; until then others may start what ends before (EASY backfilling).

--- a/crates/cluster/scheduler/src/placement/inputs.rs
+++ b/crates/cluster/scheduler/src/placement/inputs.rs
@@ -1,12 +1,12 @@
 //! What a placement pass decides on, and what it decides.
 
 use sagetrail_protocol::agent::Resources;
-use sagetrail_protocol::NodeId;
+use sagetrail_protocol::{NodeId, Time};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::ids::StepId;
-use crate::reservation::Reservation;
+use crate::reservation::{Reservation, ReservationKind};
 use crate::spec::Labels;
 
 /// A runner with free capacity.
@@ -54,6 +54,10 @@
     pub far_tasks: u32,
     /// It has waited for so long that it takes stragglers too.
     pub takes_stragglers: bool,
+    /// When a task that starts now has surely ended, by its estimate; `None` where that is unknown.
+    pub ends_at: Option<Time>,
+    /// It has stood still for so long beside idle runners that it takes those that are being drained for others.
+    pub ignores_drains: bool,
     /// The rack of its data; empty for none.
     pub affinity: String,
     /// Labels that a runner must have.
@@ -67,6 +71,12 @@
 }
 
 impl PendingStep {
+    /// True where it must leave a runner to the step for which that is reserved.
+    pub(super) fn is_excluded_by(&self, reservation: &Reservation) -> bool {
+        let ignores = self.ignores_drains && reservation.kind == ReservationKind::Draining;
+        !ignores && reservation.excludes(self.id, self.priority, self.ends_at)
+    }
+
     /// How many more of its tasks anti-affinity allows at a runner.
     pub(super) fn anti_affinity_left(&self, node: NodeId) -> u32 {
         if self.anti_affinity == 0 {
--- a/crates/cluster/scheduler/src/placement/locality.rs
+++ b/crates/cluster/scheduler/src/placement/locality.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// True where many of the service's runners are idle.
+    pub(crate) fn is_idle(self) -> bool {
+        self.longest_ms <= MAX_HOLD_IDLE_MS
+    }
+
     /// The longest wait of a task that takes so long near its data, in milliseconds.
     pub(crate) fn of(self, estimate_ms: f64) -> f64 {
         (estimate_ms * (self.far_x - 1.0)).clamp(0.0, self.longest_ms)
--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -168,9 +168,9 @@
     fn may_start(&self, step: usize, runner: usize) -> bool {
         let is_held = self.steps[step].far_tasks == 0 && self.cost(step, runner) > 0.0;
         let (step, runner) = (&self.steps[step], &self.runners[runner]);
-        let reserved_for_other = runner.reservation.is_some_and(|reservation| {
-            reservation.step != step.id && reservation.priority <= step.priority
-        });
+        let reserved_for_other = runner
+            .reservation
+            .is_some_and(|reservation| step.is_excluded_by(&reservation));
         !is_held
             && (step.takes_stragglers || !runner.straggler)
             && step.has_task_for(runner.node)
