scheduler: a straggler's trial that brings no evidence ends after three seconds

Cause: a runner on trial took five runs at most until its pace was known; lasting tasks and gangs tell no pace, so that it would have stayed at five for ever while others were full. Found by reading. Change: such a trial ends after 3 s. Measured: a test that is red without it.

--- a/crates/cluster/scheduler/src/runner_pace.rs
+++ b/crates/cluster/scheduler/src/runner_pace.rs
@@ -23,6 +23,8 @@
 const TRIAL_AFTER_MS: u64 = 1_000;
 /// How many runs a straggler on trial has at most.
 const TRIAL_RUNS: u32 = 5;
+/// A trial that brings no evidence ends after so long, in milliseconds: what runs there may tell nothing of its pace.
+const TRIAL_MS: u64 = 3_000;
 /// With fewer runners of a known pace a service has no median.
 const MIN_RUNNERS: usize = 4;
 const MICROS_PER_MS: f64 = 1_000.0;
@@ -102,7 +104,7 @@
     /// The time that they took, decayed alike, in milliseconds.
     time_ms: f64,
     updated_at: Time,
-    /// When there was last enough evidence.
+    /// When there was last enough evidence, or a trial began.
     known_at: Time,
     verdict: PaceVerdict,
 }
@@ -132,11 +134,7 @@
         self.decay(now);
         let relative = self.pace().zip(median).map(|(pace, median)| pace / median);
         let Some(relative) = relative else {
-            let is_stale = now.millis_since(self.known_at) >= TRIAL_AFTER_MS;
-            if self.verdict == PaceVerdict::Straggler && is_stale {
-                self.verdict = PaceVerdict::OnTrial;
-            }
-            return;
+            return self.judge_without_evidence(now);
         };
         self.known_at = now;
         if relative < STRAGGLER_BELOW {
@@ -146,6 +144,19 @@
         }
     }
 
+    /// A straggler is tried again after a while; a trial without evidence is over after a while.
+    fn judge_without_evidence(&mut self, now: Time) {
+        let unknown_ms = now.millis_since(self.known_at);
+        match self.verdict {
+            PaceVerdict::Straggler if unknown_ms >= TRIAL_AFTER_MS => {
+                self.verdict = PaceVerdict::OnTrial;
+                self.known_at = now;
+            }
+            PaceVerdict::OnTrial if unknown_ms >= TRIAL_MS => self.verdict = PaceVerdict::Sound,
+            _ => {}
+        }
+    }
+
     /// What is made of it.
     pub(crate) fn verdict(&self) -> PaceVerdict {
         self.verdict
--- a/crates/cluster/scheduler/tests/stragglers.rs
+++ b/crates/cluster/scheduler/tests/stragglers.rs
@@ -132,3 +132,20 @@
     cluster.execute_commands();
     assert_eq!(running_at(&cluster, node(1)), 40);
 }
+
+#[test]
+fn a_trial_that_tells_nothing_ends() {
+    let mut cluster = busy_cluster(false);
+    work(&mut cluster, 12, &[node(1)]);
+    end_all_at(&mut cluster, node(1));
+    work(&mut cluster, 20, &[]);
+    // Lasting tasks have no progress by which a runner could be judged.
+    let body = r#"{"stages":[{"count":40,"cpu":100,"long_running":true}]}"#;
+    cluster.submit(A, body);
+    cluster.commit();
+    cluster.execute_commands();
+    assert_eq!(running_at(&cluster, node(1)), 5);
+    work(&mut cluster, 32, &[]);
+    cluster.execute_commands();
+    assert_eq!(running_at(&cluster, node(1)), 40);
+}
