scheduler: pending steps as a pass needs them have a file of their own

Change: scheduler/pending_steps.rs holds what makes a PendingStep; nothing else changes. Measured: the crate's tests are green.

--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod diagnostics;
 mod drain_reservation;
 mod job_lifecycle;
+mod pending_steps;
 mod placement_round;
 mod preemption;
 mod record_writes;
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -1,32 +1,19 @@
 //! One placement round: a pass for each service with pending steps, and the assignments it decides on.
 
-use sagetrail_protocol::agent::Resources;
 use sagetrail_protocol::node::Now;
-use sagetrail_protocol::{NodeId, Time};
+use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 
 use super::stragglers::expected_run_ms;
 use super::{Scheduler, PENDING_STEPS_PER_PASS};
-use crate::capacity::{add, fits};
+use crate::capacity::fits;
 use crate::ids::{StepId, TaskId};
-use crate::pending_queue::PendingKey;
-use crate::placement::{
-    AvailableRunner, HoldLimit, Pass, PendingStep, Placement, RackDemand, Racks,
-};
+use crate::placement::{AvailableRunner, Pass, PendingStep, Placement};
 use crate::runner::{Assignment, Runner};
 use crate::runner_pace::RunProgress;
 use crate::spec::Stage;
-use crate::step_run::{AssignedRun, StepRun, Task};
+use crate::step_run::{AssignedRun, StepRun};
 
-/// A step that has been pending for so long no longer avoids runners at which its tasks failed, in milliseconds.
-const FAILED_RUNNER_AVOIDANCE_MS: u64 = 2_500;
-/// A step that has been pending for so long takes stragglers too, in milliseconds.
-const STRAGGLER_AVOIDANCE_MS: u64 = 1_500;
-/// A step that has been pending for so long, while many runners are idle, takes those that are being drained for another
-/// step, in milliseconds: a job must not stand still beside them for seconds.
-const DRAIN_PATIENCE_MS: u64 = 2_000;
-/// A run has surely ended after this multiple of its estimate.
-const SURELY_ENDED: f64 = 1.25;
 /// Outlier ejection is off while more than one in this number of reachable runners of a service is suspect.
 const MAX_EJECTED_DIVISOR: usize = 3;
 
@@ -95,70 +82,6 @@
             .collect()
     }
 
-    /// The racks of a service, and how long its work may wait for them.
-    pub(super) fn racks<'a>(&'a self, now: Now, service: &'a str) -> (Racks<'a>, HoldLimit) {
-        let mut racks = Racks::default();
-        let (mut capacity, mut free) = (Resources::default(), Resources::default());
-        for (_, runner) in self.runners.of_service(service) {
-            if runner.is_reachable(now.steady) {
-                racks.add_runner(runner.rack(), runner.capacity);
-                add(&mut capacity, runner.capacity);
-                add(&mut free, runner.free_capacity());
-            }
-        }
-        let far_x = self.settings.bounds.far_x;
-        (racks, HoldLimit::new(far_x, capacity, free))
-    }
-
-    /// A pending step as a placement pass needs it. To be called in the order in which steps are placed.
-    pub(super) fn pending_step(
-        &self,
-        now: Now,
-        key: PendingKey,
-        racks: &mut Racks,
-        limit: HoldLimit,
-    ) -> Option<PendingStep> {
-        let job = self.jobs.get(key.step.job)?;
-        let (stage, step) = (job.stage(key.step)?, job.step(key.step)?);
-        let pending_since = step.waiting_since.max(job.accepted_at);
-        let pending_ms = now.steady.millis_since(pending_since);
-        let waiting = step.waiting.len() as u32;
-        let max_hold_ms = limit.of(stage.estimate_ms);
-        let held = racks.hold(RackDemand {
-            rack: &stage.affinity,
-            resources: stage.resources(),
-            estimate_ms: stage.estimate_ms,
-            waiting,
-            pending_ms,
-            max_hold_ms,
-        });
-        let avoiding = if pending_ms < FAILED_RUNNER_AVOIDANCE_MS {
-            count_avoiding(step)
-        } else {
-            BTreeMap::new()
-        };
-        Some(PendingStep {
-            id: key.step,
-            priority: key.priority,
-            resources: stage.resources(),
-            waiting,
-            gang: stage.gang,
-            long_running: stage.long_running,
-            holds_for_rack: stage.rack_local
-                && (pending_ms as f64) < max_hold_ms
-                && racks.can_hold(stage.resources(), waiting),
-            far_tasks: if stage.gang { u32::MAX } else { waiting - held },
-            takes_stragglers: pending_ms >= STRAGGLER_AVOIDANCE_MS,
-            ends_at: ends_at(now, stage),
-            ignores_drains: pending_ms >= DRAIN_PATIENCE_MS && limit.is_idle(),
-            affinity: stage.affinity.clone(),
-            constraints: stage.constraints.clone(),
-            anti_affinity: stage.anti_affinity,
-            assigned_at: count_assigned(stage, step),
-            avoiding,
-        })
-    }
-
     /// Assigns what a pass decided. All members of a gang get one attempt number.
     fn assign_all(&mut self, now: Now, placements: &[Placement]) {
         let mut gang_attempts: BTreeMap<StepId, u64> = BTreeMap::new();
@@ -230,13 +153,6 @@
     }
 }
 
-/// When a run of the step that starts now has surely ended; `None` where its estimate does not tell.
-fn ends_at(now: Now, stage: &Stage) -> Option<Time> {
-    let is_known = !stage.long_running && !stage.gang && stage.estimate_ms > 0.0;
-    let longest_ms = (stage.estimate_ms * SURELY_ENDED) as u64;
-    is_known.then(|| now.steady.plus_millis(longest_ms))
-}
-
 /// True where any runner has free capacity for a task of the step, near its data if all its tasks wait for that.
 fn may_start_somewhere(step: &PendingStep, runners: &[AvailableRunner]) -> bool {
     let is_open = |runner: &AvailableRunner| {
@@ -255,26 +171,3 @@
         .find(|index| !avoids(index))
         .or(step.waiting.first().copied())
 }
-
-/// How many waiting tasks of a step have failed at each runner.
-fn count_avoiding(step: &StepRun) -> BTreeMap<NodeId, u32> {
-    let waiting = step
-        .waiting
-        .iter()
-        .filter_map(|&index| step.tasks.get(index as usize));
-    count(waiting.flat_map(|task| task.failed_at.iter().copied()))
-}
-
-/// How many tasks of a step are assigned to each runner; counted only where anti-affinity asks for it.
-fn count_assigned(stage: &Stage, step: &StepRun) -> BTreeMap<NodeId, u32> {
-    if stage.anti_affinity == 0 {
-        return BTreeMap::new();
-    }
-    count(step.tasks.iter().filter_map(|task: &Task| task.runner))
-}
-
-fn count(nodes: impl Iterator<Item = NodeId>) -> BTreeMap<NodeId, u32> {
-    let mut counts = BTreeMap::new();
-    nodes.for_each(|node| *counts.entry(node).or_default() += 1);
-    counts
-}
