scheduler: runners that are drained are not backfilled; only standing work takes them

Change: the reservation no longer names when the drain is over. What stands still for 2 s beside idle runners takes them still.

--- a/crates/cluster/scheduler/src/placement/inputs.rs
+++ b/crates/cluster/scheduler/src/placement/inputs.rs
@@ -1,7 +1,7 @@
 //! What a placement pass decides on, and what it decides.
 
 use sagetrail_protocol::agent::Resources;
-use sagetrail_protocol::{NodeId, Time};
+use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -54,8 +54,6 @@
     pub far_tasks: u32,
     /// It has waited for so long that it takes stragglers too.
     pub takes_stragglers: bool,
-    /// When a task that starts now has surely ended, by its estimate; `None` where that is unknown.
-    pub ends_at: Option<Time>,
     /// It has stood still for so long beside idle runners that it takes those that are being drained for others.
     pub ignores_drains: bool,
     /// The rack of its data; empty for none.
@@ -74,7 +72,7 @@
     /// True where it must leave a runner to the step for which that is reserved.
     pub(super) fn is_excluded_by(&self, reservation: &Reservation) -> bool {
         let ignores = self.ignores_drains && reservation.kind == ReservationKind::Draining;
-        !ignores && reservation.excludes(self.id, self.priority, self.ends_at)
+        !ignores && reservation.step != self.id && reservation.priority <= self.priority
     }
 
     /// How many more of its tasks anti-affinity allows at a runner.
--- a/crates/cluster/scheduler/src/reservation.rs
+++ b/crates/cluster/scheduler/src/reservation.rs
@@ -25,19 +25,6 @@
     pub expires_at: Time,
     /// How the capacity becomes free.
     pub kind: ReservationKind,
-    /// When the step can probably start. Until then others may use a runner that is being drained (EASY backfilling;
-    /// Mu'alem and Feitelson, IEEE TPDS 12(6), 2001).
-    pub ready_at: Time,
-}
-
-impl Reservation {
-    /// True where a step of this priority that would hold the runner until `ends_at` must leave it to the reservation's.
-    pub(crate) fn excludes(&self, step: StepId, priority: u32, ends_at: Option<Time>) -> bool {
-        let is_other = self.step != step && self.priority <= priority;
-        let is_backfill = self.kind == ReservationKind::Draining
-            && ends_at.is_some_and(|ends_at| ends_at <= self.ready_at);
-        is_other && !is_backfill
-    }
 }
 
 /// The reservations, at most one for each runner.
--- a/crates/cluster/scheduler/src/scheduler/drain_reservation.rs
+++ b/crates/cluster/scheduler/src/scheduler/drain_reservation.rs
@@ -3,19 +3,16 @@
 //!
 //! Without it tasks that need a whole runner, and gangs that need several, would wait as long as smaller work keeps
 //! coming. For one step of a service at a time runners are reserved until they are empty enough; the runs there end by
-//! themselves. Meanwhile short work that ends before the last of them may start there.
+//! themselves.
 
 use sagetrail_protocol::node::Now;
-use sagetrail_protocol::{NodeId, Time};
+use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 
-use super::stuck_runs::remaining_run_ms;
 use super::Scheduler;
 use crate::capacity::fit_count;
-use crate::ids::TaskId;
 use crate::pending_queue::PendingKey;
 use crate::reservation::{Reservation, ReservationKind};
-use crate::runner::Assignment;
 use crate::spec::Stage;
 
 /// A step waits so long before runners are drained for it, in milliseconds.
@@ -53,41 +50,22 @@
         if !has_waited || self.is_draining(service) {
             return;
         }
-        let mut remaining = tasks;
-        let mut drained = self.drain_candidates(now, service, key, &stage, tasks);
-        drained.retain(|candidate| {
-            let is_needed = remaining > 0;
-            remaining = remaining.saturating_sub(candidate.slots);
-            is_needed
-        });
-        let emptied = drained.iter().map(|drain| self.emptied_at(now, drain.node));
         let reservation = Reservation {
             step: key.step,
             priority: key.priority,
             expires_at: now.steady.plus_millis(DRAIN_RESERVATION_MS),
             kind: ReservationKind::Draining,
-            ready_at: emptied.max().unwrap_or(now.steady),
         };
-        for candidate in drained {
+        let mut remaining = tasks;
+        for candidate in self.drain_candidates(now, service, key, &stage, tasks) {
+            if remaining == 0 {
+                break;
+            }
+            remaining = remaining.saturating_sub(candidate.slots);
             self.reservations.insert(candidate.node, reservation);
         }
     }
 
-    /// When the last run at a runner ends, by progress and estimates.
-    fn emptied_at(&self, now: Now, node: NodeId) -> Time {
-        let assigned = self.runners.get(node).map(|runner| &runner.assigned);
-        let remaining_ms = |(task, assignment): (&TaskId, &Assignment)| {
-            let stage = self.jobs.stage(task.step)?;
-            Some(remaining_run_ms(now, assignment, stage))
-        };
-        let longest = assigned
-            .into_iter()
-            .flatten()
-            .filter_map(remaining_ms)
-            .max();
-        now.steady.plus_millis(longest.unwrap_or(0))
-    }
-
     /// True where runners of the service are being drained already.
     fn is_draining(&self, service: &str) -> bool {
         self.reservations.draining().any(|node| {
--- a/crates/cluster/scheduler/src/scheduler/pending_steps.rs
+++ b/crates/cluster/scheduler/src/scheduler/pending_steps.rs
@@ -2,7 +2,7 @@
 
 use sagetrail_protocol::agent::Resources;
 use sagetrail_protocol::node::Now;
-use sagetrail_protocol::{NodeId, Time};
+use sagetrail_protocol::NodeId;
 use std::collections::BTreeMap;
 
 use super::Scheduler;
@@ -19,8 +19,6 @@
 /// A step that has been pending for so long, while many runners are idle, takes those that are being drained for another
 /// step, in milliseconds: a job must not stand still beside them for seconds.
 const DRAIN_PATIENCE_MS: u64 = 2_000;
-/// A run has surely ended after this multiple of its estimate.
-const SURELY_ENDED: f64 = 1.25;
 
 impl Scheduler {
     /// The racks of a service, and how long its work may wait for them.
@@ -77,7 +75,6 @@
                 && racks.can_hold(stage.resources(), waiting),
             far_tasks: if stage.gang { u32::MAX } else { waiting - held },
             takes_stragglers: pending_ms >= STRAGGLER_AVOIDANCE_MS,
-            ends_at: ends_at(now, stage),
             ignores_drains: pending_ms >= DRAIN_PATIENCE_MS && limit.is_idle(),
             affinity: stage.affinity.clone(),
             constraints: stage.constraints.clone(),
@@ -88,13 +85,6 @@
     }
 }
 
-/// When a run of the step that starts now has surely ended; `None` where its estimate does not tell.
-fn ends_at(now: Now, stage: &Stage) -> Option<Time> {
-    let is_known = !stage.long_running && !stage.gang && stage.estimate_ms > 0.0;
-    let longest_ms = (stage.estimate_ms * SURELY_ENDED) as u64;
-    is_known.then(|| now.steady.plus_millis(longest_ms))
-}
-
 /// How many waiting tasks of a step have failed at each runner.
 fn count_avoiding(step: &StepRun) -> BTreeMap<NodeId, u32> {
     let waiting = step
--- a/crates/cluster/scheduler/src/scheduler/preemption.rs
+++ b/crates/cluster/scheduler/src/scheduler/preemption.rs
@@ -88,7 +88,6 @@
                 .steady
                 .plus_millis(self.settings.bounds.stop_ms + RESERVATION_MARGIN_MS),
             kind: ReservationKind::Preemption,
-            ready_at: now.steady,
         };
         let mut remaining = tasks;
         for offer in offers {
--- a/crates/cluster/scheduler/src/scheduler/stuck_runs.rs
+++ b/crates/cluster/scheduler/src/scheduler/stuck_runs.rs
@@ -110,7 +110,7 @@
 }
 
 /// How much longer a run takes, by its progress so far or else by its estimate, in milliseconds.
-pub(super) fn remaining_run_ms(now: Now, assignment: &Assignment, stage: &Stage) -> u64 {
+fn remaining_run_ms(now: Now, assignment: &Assignment, stage: &Stage) -> u64 {
     let ran_ms = now.steady.millis_since(assignment.assigned_at);
     let percent = u64::from(assignment.percent);
     if assignment.percent >= MIN_PACE_PERCENT {
