--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -24,6 +24,8 @@
     /// The label that the runner must have; empty for none.
     pub constraint: &'static str,
     pub long_running: bool,
+    /// The tasks start and end together.
+    pub gang: bool,
     pub spec: String,
 }
 
@@ -36,6 +38,9 @@
         if !self.constraint.is_empty() {
             step += &format!(",\"constraints\":{}", quoted(self.constraint));
         }
+        if self.gang {
+            step += ",\"gang\":true";
+        }
         if self.long_running {
             step += ",\"long_running\":true";
         }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -135,6 +135,7 @@
             estimate_ms: 500,
             constraint,
             long_running: false,
+            gang: false,
             spec: "run 500 ms".to_owned(),
         }
     }
@@ -264,6 +265,32 @@
     play.judge(&judged)
 }
 
+/// The only runner with a label fails all that it starts for a while; what needs the label are gangs of two tasks.
+fn gang_trial(record: Arc<Record>) -> Result<bool, String> {
+    let mut play = Play::start(record, &TEN_RUNNERS)?;
+    let mut judged = Vec::new();
+    for number in 0..40 {
+        play.wait_until(f64::from(number) / 2.0);
+        if number == 8 && play.trouble {
+            play.record
+                .tell("runner-9, the only one with label b, fails all that it starts, for 6.5 s");
+            play.runners[9].failing.store(true, Ordering::Relaxed);
+        }
+        if number == 21 {
+            play.record.say("runner-9 is well");
+            play.runners[9].failing.store(false, Ordering::Relaxed);
+        }
+        if number % 3 == 0 {
+            let mut job = play.job(LASTING, 2, 3_000, "b");
+            job.gang = true;
+            judged.extend(play.submit_job(job)?);
+        }
+        judged.extend(play.submit(URGENT, 2, 240, "a")?);
+    }
+    std::thread::sleep(FINISH);
+    play.judge(&judged)
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, name, path] = arguments.as_slice() else {
@@ -280,6 +307,7 @@
     let result = match name.as_str() {
         "large-jobs" => large_jobs(Arc::clone(&record)),
         "lost-label" => lost_label(Arc::clone(&record)),
+        "gang-trial" => gang_trial(Arc::clone(&record)),
         "lasting-trial" => lasting_trial(Arc::clone(&record)),
         _ => Err(format!("no case {name}")),
     };
