Review: the runner stand-in ends what has lapsed before it takes a new hold

Cause: a heartbeat without an answer keeps the stand-in's thread for a second, and a run whose hold was over meanwhile went on. Done: of the ways in which a run can end, the first in time decides, and lapsed runs end before an answer extends the hold.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -55,8 +55,9 @@
 /// A cluster with its runners and clients, and what has been submitted so far.
 struct Play {
     record: Arc<Record>,
-    cluster: Cluster,
+    /// Stopped before the cluster, since fields are dropped in this order.
     runners: Vec<Runner>,
+    cluster: Cluster,
     clients: Clients,
     jobs: Vec<Job>,
     trouble: bool,
--- a/review/stand-ins/src/runner.rs
+++ b/review/stand-ins/src/runner.rs
@@ -169,23 +169,23 @@
     /// Ends the runs whose time has come, and all of them once the hold is over. Returns whether any has ended.
     fn end_runs(&mut self) -> bool {
         let now = Instant::now();
-        let lapsed = now >= self.hold_until;
         let (mut kept, mut ended) = (Vec::new(), Vec::new());
         for run in self.active.drain(..) {
-            let how = if run
-                .work
-                .is_some_and(|work| !run.fails && now >= run.started + work)
-            {
-                Some("done")
-            } else if run.fails && now >= run.started + FAIL_TIME {
-                Some("failed")
-            } else if run.stopped_at.is_some_and(|at| now >= at + STOP_TIME) {
-                Some("stopped")
-            } else if lapsed {
-                Some("lapsed")
-            } else {
-                None
-            };
+            // A heartbeat may have kept this thread, so what came first decides, not what is seen first.
+            let over = [
+                (
+                    run.work
+                        .filter(|_| !run.fails)
+                        .map(|work| run.started + work),
+                    "done",
+                ),
+                (run.fails.then_some(run.started + FAIL_TIME), "failed"),
+                (run.stopped_at.map(|at| at + STOP_TIME), "stopped"),
+                (Some(self.hold_until), "lapsed"),
+            ];
+            let over = over.into_iter().filter_map(|(at, how)| Some((at?, how)));
+            let first = over.min_by_key(|(at, _)| *at).filter(|(at, _)| now >= *at);
+            let how = first.map(|(_, how)| how);
             match how {
                 Some(how) => ended.push((run, how)),
                 None => kept.push(run),
@@ -350,6 +350,8 @@
         let Some(hold_ms) = answer.get("hold_ms").and_then(Json::number) else {
             return pause;
         };
+        // What has lapsed while this thread waited for the answer is over, whatever the answer says.
+        self.end_runs();
         let hold = Duration::from_millis(hold_ms).min(HOLD_MAX);
         self.hold_until = self.hold_until.max(sent + hold);
         for start in answer.get("start").map(Json::list).unwrap_or_default() {
