--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -38,8 +38,8 @@
 const LARGE_COUNT: u64 = 1_400;
 /// The longest time that the traffic of a case may take.
 const LONGEST_TRAFFIC: Duration = Duration::from_secs(70);
-/// The labels of ten runners, one of which is of another kind.
-const TEN_RUNNERS: [[&str; 2]; 10] = [
+/// The labels of twelve runners, one of which is of another kind.
+const TWELVE_RUNNERS: [[&str; 2]; 12] = [
     ["a", "r1-1"],
     ["a", "r1-1"],
     ["a", "r1-1"],
@@ -49,8 +49,12 @@
     ["a", "r1-3"],
     ["a", "r1-3"],
     ["a", "r1-3"],
+    ["a", "r1-4"],
+    ["a", "r1-4"],
     ["b", "r1-4"],
 ];
+/// The number of the one of another kind among them.
+const OTHER_KIND: usize = 11;
 
 /// A cluster with its runners and clients, and what has been submitted so far.
 struct Play {
@@ -190,6 +194,12 @@
     let mut judged = Vec::new();
     for number in 0..60 {
         play.wait_until(f64::from(number) / 3.0);
+        if number == 12 {
+            let mut job = play.job(URGENT, 2, 240, "");
+            job.estimate_ms = 10_000;
+            job.spec = "run 10000 ms".to_owned();
+            judged.extend(play.submit_job(job)?);
+        }
         if number == 18 && play.trouble {
             for _ in 0..=play.runners.len() {
                 let mut job = play.job(LESSER, LARGE_COUNT, 10, "");
@@ -212,14 +222,14 @@
 
 /// The only runner with a label is lost for good while jobs that need the label keep coming.
 fn lost_label(record: Arc<Record>) -> Result<bool, String> {
-    let mut play = Play::start(record, &TEN_RUNNERS)?;
+    let mut play = Play::start(record, &TWELVE_RUNNERS)?;
     let mut judged = Vec::new();
     for number in 0..300 {
         play.wait_until(f64::from(number) / 10.0);
         if number == 20 && play.trouble {
             play.record
-                .tell("runner-9, the only one with label b, is lost for good");
-            play.runners[9].crash();
+                .tell("runner-11, the only one with label b, is lost for good");
+            play.runners[OTHER_KIND].crash();
         }
         play.submit(URGENT, 1, 240, "b")?;
         if number % 10 == 0 {
@@ -235,18 +245,22 @@
 
 /// The only runner with a label fails all that it starts for a while; the first task that starts there afterwards lasts.
 fn lasting_trial(record: Arc<Record>) -> Result<bool, String> {
-    let mut play = Play::start(record, &TEN_RUNNERS)?;
+    let mut play = Play::start(record, &TWELVE_RUNNERS)?;
     let mut judged = Vec::new();
     for number in 0..30 {
         play.wait_until(f64::from(number) / 2.0);
         if number == 8 && play.trouble {
             play.record
-                .tell("runner-9, the only one with label b, fails all that it starts, for 6.5 s");
-            play.runners[9].failing.store(true, Ordering::Relaxed);
+                .tell("runner-11, the only one with label b, fails all that it starts, for 6.5 s");
+            play.runners[OTHER_KIND]
+                .failing
+                .store(true, Ordering::Relaxed);
         }
         if number == 21 {
-            play.record.say("runner-9 is well");
-            play.runners[9].failing.store(false, Ordering::Relaxed);
+            play.record.say("runner-11 is well");
+            play.runners[OTHER_KIND]
+                .failing
+                .store(false, Ordering::Relaxed);
         }
         if (9..13).contains(&number) {
             play.submit(LESSER, 1, 520, "b")?;
@@ -268,18 +282,22 @@
 
 /// The only runner with a label fails all that it starts for a while; what needs the label are gangs of two tasks.
 fn gang_trial(record: Arc<Record>) -> Result<bool, String> {
-    let mut play = Play::start(record, &TEN_RUNNERS)?;
+    let mut play = Play::start(record, &TWELVE_RUNNERS)?;
     let mut judged = Vec::new();
     for number in 0..40 {
         play.wait_until(f64::from(number) / 2.0);
         if number == 8 && play.trouble {
             play.record
-                .tell("runner-9, the only one with label b, fails all that it starts, for 6.5 s");
-            play.runners[9].failing.store(true, Ordering::Relaxed);
+                .tell("runner-11, the only one with label b, fails all that it starts, for 6.5 s");
+            play.runners[OTHER_KIND]
+                .failing
+                .store(true, Ordering::Relaxed);
         }
         if number == 21 {
-            play.record.say("runner-9 is well");
-            play.runners[9].failing.store(false, Ordering::Relaxed);
+            play.record.say("runner-11 is well");
+            play.runners[OTHER_KIND]
+                .failing
+                .store(false, Ordering::Relaxed);
         }
         if number % 3 == 0 {
             let mut job = play.job(LASTING, 2, 3_000, "b");
