agent, scheduler: messages that grow with the waiting work are sent in parts

Cause: the agent put all commanded starts, each with its spec, into one reply to a heartbeat. A runner acknowledges a reply of at most 4 MiB, so it took neither the starts nor the lease, and nothing in the state changed: the next reply was the same.

Change: a reply offers at most 1 MiB of starts, half of it and other starts first while the runner lists none of them; stops are limited in the same way. The same cause on related paths: commands to an agent include at most 1 MiB of starts, the most urgent first; a batch of records is closed from 2 MiB on where its changes may be committed apart; a checkpoint that is too long is left out alone instead of the whole heartbeat, whose limit is 16 MiB now; no runner is assigned more runs than a heartbeat may list. Runs that a reply lists are looked up in a set instead of a list.

Why it works: what a reply offers is listed by the next heartbeat and drops out of the rest, so every reply either starts something or is followed by a shorter one that begins elsewhere.

--- a/crates/cluster/agent/src/heartbeat.rs
+++ b/crates/cluster/agent/src/heartbeat.rs
@@ -1,26 +1,26 @@
 //! A runner's heartbeat, parsed from JSON. Unknown fields are ignored, missing fields are allowed, and every length is
 //! bounded.
 
+use std::collections::HashSet;
+
 use serde::Deserialize;
 use thiserror::Error;
 
-use sagetrail_protocol::agent::{ActiveRun, FinishedRun, Resources, RunEnd};
+use sagetrail_protocol::agent::{ActiveRun, FinishedRun, Resources, RunEnd, MAX_ACTIVE_RUNS};
 use sagetrail_protocol::Text;
 
+use crate::checkpoint_budget::CheckpointBudget;
 use crate::heartbeat_rows::{ActiveRow, FinishedRow};
 
-/// The maximum length of a heartbeat's body, in bytes.
-pub const MAX_HEARTBEAT_BYTES: usize = 4 << 20;
-/// The maximum number of runs that a heartbeat may list as active.
-pub const MAX_ACTIVE_RUNS: usize = 16_384;
+/// The maximum length of a heartbeat's body, in bytes. A runner chooses the length of its checkpoints, so a heartbeat
+/// may be much longer than the report that follows from it.
+pub const MAX_HEARTBEAT_BYTES: usize = 16 << 20;
 /// The maximum number of ended runs that a heartbeat may list.
 pub const MAX_FINISHED_RUNS: usize = 16_384;
 /// The maximum number of labels of a runner.
 const MAX_LABELS: usize = 1_024;
 /// The maximum length of a name in a heartbeat (task, service, address, zone, label), in bytes.
 const MAX_NAME_BYTES: usize = 1_024;
-/// The maximum length of a checkpoint, in bytes.
-const MAX_CHECKPOINT_BYTES: usize = 64 << 10;
 /// The progress of a run whose work is complete, in percent.
 const MAX_PERCENT: f64 = 100.0;
 /// The `state` value of a runner that is shutting down.
@@ -72,6 +72,8 @@
     pub(crate) active: Vec<ActiveRun>,
     /// The ended runs whose ends the scheduler has not yet observed.
     pub(crate) finished: Vec<FinishedRun>,
+    /// The number of checkpoints that were left out because they are too long.
+    pub(crate) dropped_checkpoints: u64,
 }
 
 #[derive(Deserialize, Default)]
@@ -113,20 +115,33 @@
         Heartbeat::try_from(document)
     }
 
-    /// Returns whether the heartbeat lists this run as active or as finished.
-    pub(crate) fn lists(&self, task: &str, attempt: u64) -> bool {
-        self.lists_active(task, attempt)
-            || self
-                .finished
-                .iter()
-                .any(|run| run.attempt == attempt && &*run.task == task)
+    /// Returns the listed runs, for look-ups.
+    pub(crate) fn listed_runs(&self) -> ListedRuns<'_> {
+        let active = self.active.iter().map(|run| (&*run.task, run.attempt));
+        let finished = self.finished.iter().map(|run| (&*run.task, run.attempt));
+        ListedRuns {
+            active: active.collect(),
+            finished: finished.collect(),
+        }
     }
+}
+
+/// The runs that a heartbeat lists, each by its task and attempt.
+#[derive(Debug, Default)]
+pub(crate) struct ListedRuns<'a> {
+    active: HashSet<(&'a str, u64)>,
+    finished: HashSet<(&'a str, u64)>,
+}
 
-    /// Returns whether the heartbeat lists this run as active.
-    pub(crate) fn lists_active(&self, task: &str, attempt: u64) -> bool {
-        self.active
-            .iter()
-            .any(|run| run.attempt == attempt && &*run.task == task)
+impl ListedRuns<'_> {
+    /// Returns whether the run is listed as active or as finished.
+    pub(crate) fn contains(&self, task: &str, attempt: u64) -> bool {
+        self.contains_active(task, attempt) || self.finished.contains(&(task, attempt))
+    }
+
+    /// Returns whether the run is listed as active.
+    pub(crate) fn contains_active(&self, task: &str, attempt: u64) -> bool {
+        self.active.contains(&(task, attempt))
     }
 }
 
@@ -134,6 +149,10 @@
     type Error = HeartbeatError;
 
     fn try_from(document: HeartbeatDocument) -> Result<Heartbeat, HeartbeatError> {
+        let mut checkpoints = CheckpointBudget::default();
+        // The checkpoint of an ended run is its last one, so it takes precedence.
+        let finished = finished_runs(document.finished.unwrap_or_default(), &mut checkpoints)?;
+        let active = active_runs(document.active.unwrap_or_default(), &mut checkpoints)?;
         Ok(Heartbeat {
             service: optional_name(document.service, "service")?,
             address: optional_name(document.address, "address")?,
@@ -144,8 +163,9 @@
             slow_start_remaining_ms: milliseconds(document.cold_remaining_ms),
             remaining_ms: milliseconds(document.remaining_ms),
             sequence: document.seq,
-            active: active_runs(document.active.unwrap_or_default())?,
-            finished: finished_runs(document.finished.unwrap_or_default())?,
+            active,
+            finished,
+            dropped_checkpoints: checkpoints.dropped(),
         })
     }
 }
@@ -188,36 +208,52 @@
         .collect()
 }
 
-fn active_runs(rows: Vec<ActiveRow>) -> Result<Vec<ActiveRun>, HeartbeatError> {
+fn active_runs(
+    rows: Vec<ActiveRow>,
+    checkpoints: &mut CheckpointBudget,
+) -> Result<Vec<ActiveRun>, HeartbeatError> {
     if rows.len() > MAX_ACTIVE_RUNS {
         return Err(HeartbeatError::OverLimit { field: "active" });
     }
-    rows.into_iter().map(active_run).collect()
+    rows.into_iter()
+        .map(|row| active_run(row, checkpoints))
+        .collect()
 }
 
-fn active_run(row: ActiveRow) -> Result<ActiveRun, HeartbeatError> {
+fn active_run(
+    row: ActiveRow,
+    checkpoints: &mut CheckpointBudget,
+) -> Result<ActiveRun, HeartbeatError> {
     Ok(ActiveRun {
         task: bounded(row.task, MAX_NAME_BYTES, "task")?,
         attempt: row.attempt,
-        checkpoint: bounded(row.checkpoint, MAX_CHECKPOINT_BYTES, "saved")?,
+        checkpoint: checkpoints.admit(row.checkpoint),
         percent: row.percent.clamp(0.0, MAX_PERCENT) as u8,
     })
 }
 
-fn finished_runs(rows: Vec<FinishedRow>) -> Result<Vec<FinishedRun>, HeartbeatError> {
+fn finished_runs(
+    rows: Vec<FinishedRow>,
+    checkpoints: &mut CheckpointBudget,
+) -> Result<Vec<FinishedRun>, HeartbeatError> {
     if rows.len() > MAX_FINISHED_RUNS {
         return Err(HeartbeatError::OverLimit { field: "finished" });
     }
-    rows.into_iter().map(finished_run).collect()
+    rows.into_iter()
+        .map(|row| finished_run(row, checkpoints))
+        .collect()
 }
 
-fn finished_run(row: FinishedRow) -> Result<FinishedRun, HeartbeatError> {
+fn finished_run(
+    row: FinishedRow,
+    checkpoints: &mut CheckpointBudget,
+) -> Result<FinishedRun, HeartbeatError> {
     Ok(FinishedRun {
         number: row.number,
         task: bounded(row.task, MAX_NAME_BYTES, "task")?,
         attempt: row.attempt,
         end: run_end(&row.end),
-        checkpoint: bounded(row.checkpoint, MAX_CHECKPOINT_BYTES, "saved")?,
+        checkpoint: checkpoints.admit(row.checkpoint),
     })
 }
 
--- a/crates/cluster/agent/src/heartbeat_reply.rs
+++ b/crates/cluster/agent/src/heartbeat_reply.rs
@@ -1,5 +1,7 @@
 //! The reply to a heartbeat, as JSON. Empty and unknown fields are left out.
 
+use std::io;
+
 use serde::ser::{SerializeTuple, Serializer};
 use serde::Serialize;
 
@@ -10,6 +12,8 @@
 const EMPTY_DOCUMENT: &[u8] = b"{}";
 const START_FIELDS: usize = 4;
 const STOP_FIELDS: usize = 2;
+/// The size of the comma between two rows, in bytes.
+const SEPARATOR_BYTES: usize = 1;
 
 /// The reply to a heartbeat that was accepted.
 #[derive(Serialize, Default)]
@@ -75,6 +79,35 @@
     }
 }
 
+/// Counts the bytes that are written to it.
+#[derive(Default)]
+struct ByteCounter(usize);
+
+impl io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the first rows whose JSON is together at most `max_bytes` long, and at least one row if there is any.
+pub(crate) fn take_within<T: Serialize>(mut rows: Vec<T>, max_bytes: usize) -> Vec<T> {
+    let mut written = ByteCounter::default();
+    let fits = |row: &&T| {
+        // The counter accepts every write, and the rows consist only of numbers and strings.
+        let _ = serde_json::to_writer(&mut written, row);
+        written.0 += SEPARATOR_BYTES;
+        written.0 <= max_bytes
+    };
+    let fitting = rows.iter().take_while(fits).count();
+    rows.truncate(fitting.max(1));
+    rows
+}
+
 impl From<HeartbeatReply<'_>> for HttpReply {
     fn from(reply: HeartbeatReply<'_>) -> HttpReply {
         // Serialization cannot fail, because the reply consists only of numbers, strings and lists of these.
--- a/crates/cluster/agent/src/lib.rs
+++ b/crates/cluster/agent/src/lib.rs
@@ -54,6 +54,7 @@
 //! not started by the commands before, and will not be.
 
 mod agent_lease;
+mod checkpoint_budget;
 mod commands;
 mod config_relay;
 mod health_check;
@@ -70,8 +71,9 @@
 mod runner_registry;
 mod runner_service;
 mod settings;
+mod start_offers;
 
-pub use heartbeat::{HeartbeatError, MAX_ACTIVE_RUNS, MAX_FINISHED_RUNS, MAX_HEARTBEAT_BYTES};
+pub use heartbeat::{HeartbeatError, MAX_FINISHED_RUNS, MAX_HEARTBEAT_BYTES};
 pub use node::AgentNode;
 pub use runner_call::MAX_INSTANCE_BYTES;
 pub use settings::{AgentSettings, Counters};
--- a/crates/cluster/agent/src/runner_service.rs
+++ b/crates/cluster/agent/src/runner_service.rs
@@ -12,13 +12,14 @@
 
 use crate::commands::{AdoptedCommands, Adoption};
 use crate::health_check::{HealthMonitor, Verdict};
-use crate::heartbeat::{Heartbeat, HeartbeatError};
-use crate::heartbeat_reply::{empty, HeartbeatReply, StartRow, StopRow};
+use crate::heartbeat::{Heartbeat, HeartbeatError, ListedRuns};
+use crate::heartbeat_reply::{empty, take_within, HeartbeatReply, StartRow, StopRow};
 use crate::report::{build, ReportHeader};
 use crate::report_schedule::ReportSchedule;
 use crate::runner_call::RunnerCall;
 use crate::runner_registry::{Admission, RunnerRegistry};
 use crate::settings::{AgentSettings, Counters};
+use crate::start_offers::StartOffers;
 
 /// The minimum lease with which a run is started, in milliseconds. With a shorter lease the run would be over at once.
 const MIN_START_LEASE_MS: u64 = 500;
@@ -26,6 +27,8 @@
 const BUSY_RETRY_MS: u64 = 100;
 /// The delay until the next heartbeat while no run is active, in milliseconds.
 const IDLE_RETRY_MS: u64 = 200;
+/// The maximum size of the stops in one reply, in bytes of JSON. Further stops follow once the first ones have ended.
+const MAX_STOP_BYTES: usize = 1 << 20;
 const OK: u16 = 200;
 const BAD_REQUEST: u16 = 400;
 const NOT_FOUND: u16 = 404;
@@ -41,6 +44,7 @@
     runner_address: Option<SocketAddrV4>,
     registry: RunnerRegistry,
     commands: AdoptedCommands,
+    start_offers: StartOffers,
     reports: ReportSchedule,
     health: HealthMonitor,
     counters: Counters,
@@ -55,6 +59,7 @@
             runner_address: settings.runner_address,
             registry: RunnerRegistry::new(now, settings.heartbeat_ms),
             commands: AdoptedCommands::new(settings.incarnation),
+            start_offers: StartOffers::default(),
             reports: ReportSchedule::default(),
             health: HealthMonitor::default(),
             counters: Counters::default(),
@@ -137,6 +142,7 @@
         // The first heartbeat resolves no commands, because an earlier agent may already have answered it.
         let has_resolved = self.counters.heartbeats > 0 && self.commands.resolve();
         self.counters.heartbeats += 1;
+        self.counters.dropped_checkpoints += heartbeat.dropped_checkpoints;
         if has_change || has_resolved {
             self.reports.record_change();
         }
@@ -160,12 +166,19 @@
     }
 
     fn heartbeat_reply(
-        &self,
+        &mut self,
         instance: &str,
         heartbeat: &Heartbeat,
         lease_ms: u64,
     ) -> HeartbeatReply<'_> {
-        let start = self.starts(instance, heartbeat, lease_ms);
+        let listed = heartbeat.listed_runs();
+        self.start_offers.record_heartbeat(&listed);
+        let start = if self.may_start(lease_ms) {
+            let outstanding = outstanding_starts(&self.commands, instance, &listed);
+            self.start_offers.select(outstanding)
+        } else {
+            Vec::new()
+        };
         let is_busy = !start.is_empty() || !heartbeat.active.is_empty();
         let default_retry_ms = if is_busy {
             BUSY_RETRY_MS
@@ -178,43 +191,18 @@
             observed: self.commands.observed(instance),
             fencing_token: self.commands.fencing_token(),
             start,
-            stop: self.stops(instance, heartbeat),
+            stop: take_within(stops(&self.commands, instance, &listed), MAX_STOP_BYTES),
             retry_after_ms: Some(retry_after_ms.unwrap_or(default_retry_ms)),
         }
     }
 
-    /// Returns the commanded starts that this heartbeat does not list; none if the runner drains or its lease is too
-    /// short.
-    fn starts(&self, instance: &str, heartbeat: &Heartbeat, lease_ms: u64) -> Vec<StartRow<'_>> {
+    /// Returns whether starts may be offered: the runner does not drain, and its lease is long enough.
+    fn may_start(&self, lease_ms: u64) -> bool {
         let is_draining = self
             .registry
             .current()
             .is_none_or(|runner| runner.is_draining);
-        if is_draining || lease_ms < MIN_START_LEASE_MS.min(self.bounds.hold_max_ms) {
-            return Vec::new();
-        }
-        let commanded = self.commands.starts(instance).iter();
-        commanded
-            .filter(|command| !heartbeat.lists(&command.task, command.attempt))
-            .map(|command| StartRow {
-                task: &command.task,
-                attempt: command.attempt,
-                spec: &command.spec,
-                checkpoint: &command.checkpoint,
-            })
-            .collect()
-    }
-
-    /// Returns the commanded stops of the runs that this heartbeat lists as active.
-    fn stops(&self, instance: &str, heartbeat: &Heartbeat) -> Vec<StopRow<'_>> {
-        let commanded = self.commands.stops(instance).iter();
-        commanded
-            .filter(|command| heartbeat.lists_active(&command.task, command.attempt))
-            .map(|command| StopRow {
-                task: &command.task,
-                attempt: command.attempt,
-            })
-            .collect()
+        !is_draining && lease_ms >= MIN_START_LEASE_MS.min(self.bounds.hold_max_ms)
     }
 
     /// Receives commands from a scheduler.
@@ -304,3 +292,37 @@
         wakes.into_iter().flatten().min()
     }
 }
+
+/// Returns the commanded starts that a heartbeat does not list.
+fn outstanding_starts<'a>(
+    commands: &'a AdoptedCommands,
+    instance: &str,
+    listed: &ListedRuns<'_>,
+) -> Vec<StartRow<'a>> {
+    let commanded = commands.starts(instance).iter();
+    commanded
+        .filter(|command| !listed.contains(&command.task, command.attempt))
+        .map(|command| StartRow {
+            task: &command.task,
+            attempt: command.attempt,
+            spec: &command.spec,
+            checkpoint: &command.checkpoint,
+        })
+        .collect()
+}
+
+/// Returns the commanded stops of the runs that a heartbeat lists as active.
+fn stops<'a>(
+    commands: &'a AdoptedCommands,
+    instance: &str,
+    listed: &ListedRuns<'_>,
+) -> Vec<StopRow<'a>> {
+    let commanded = commands.stops(instance).iter();
+    commanded
+        .filter(|command| listed.contains_active(&command.task, command.attempt))
+        .map(|command| StopRow {
+            task: &command.task,
+            attempt: command.attempt,
+        })
+        .collect()
+}
--- a/crates/cluster/agent/src/settings.rs
+++ b/crates/cluster/agent/src/settings.rs
@@ -35,6 +35,8 @@
     pub replaced_heartbeats: u64,
     /// The number of heartbeats that could not be parsed or exceeded a limit.
     pub malformed_heartbeats: u64,
+    /// The number of checkpoints that were left out of accepted heartbeats because they were too long.
+    pub dropped_checkpoints: u64,
     /// The number of commands that were older than the adopted ones.
     pub older_commands: u64,
     /// The number of reports sent.
--- a/crates/cluster/agent/tests/heartbeats.rs
+++ b/crates/cluster/agent/tests/heartbeats.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use serde_json::json;
 
-use sagetrail_agent::{MAX_ACTIVE_RUNS, MAX_HEARTBEAT_BYTES};
-use sagetrail_protocol::agent::{RunEnd, RunnerCommands};
+use sagetrail_agent::MAX_HEARTBEAT_BYTES;
+use sagetrail_protocol::agent::{RunEnd, RunnerCommands, MAX_ACTIVE_RUNS};
 use sagetrail_protocol::List;
 
 use common::*;
--- a/crates/cluster/agent/tests/http_answers.rs
+++ b/crates/cluster/agent/tests/http_answers.rs
@@ -5,9 +5,9 @@
 
 use serde_json::json;
 
-use sagetrail_agent::{MAX_ACTIVE_RUNS, MAX_HEARTBEAT_BYTES, MAX_INSTANCE_BYTES};
+use sagetrail_agent::{MAX_HEARTBEAT_BYTES, MAX_INSTANCE_BYTES};
 use sagetrail_fixture::transcript::Transcript;
-use sagetrail_protocol::agent::RunnerCommands;
+use sagetrail_protocol::agent::{RunnerCommands, MAX_ACTIVE_RUNS};
 use sagetrail_protocol::node::{
     Event, HttpEndpoint, HttpReply, HttpRequest, HttpRequestId, Method,
 };
--- a/crates/cluster/cluster-node/src/http/service.rs
+++ b/crates/cluster/cluster-node/src/http/service.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
 
+use sagetrail_agent::MAX_HEARTBEAT_BYTES;
 use sagetrail_protocol::node::{HttpEndpoint, HttpRequestId};
 
 use super::connection_limit::ConnectionSlot;
@@ -22,8 +23,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// The size limit for the body of a client's request, in bytes.
 const CLIENT_BODY_BYTES: usize = 1 << 20;
-/// The size limit for the body of a request at the control endpoint (a configuration or a heartbeat), in bytes.
+/// The size limit for the body of a request at the control endpoint, in bytes; heartbeats have their own limit.
 const CONTROL_BODY_BYTES: usize = 4 << 20;
+/// The prefix of the paths of runners' calls.
+const RUNNER_PATH_PREFIX: &str = "/v1/instances/";
 
 /// The context that the requests of one listener share; see [`ServerContext`](super::ServerContext).
 pub(super) struct ServiceContext {
@@ -71,7 +74,8 @@
     slot.set_busy(true);
     let _busy = BusyGuard(slot);
     let (parts, body) = request.into_parts();
-    let body = match read_body(body, body_limit(context.endpoint)).await {
+    let limit = body_limit(context.endpoint, parts.uri.path());
+    let body = match read_body(body, limit).await {
         Ok(body) => body,
         Err(status) => return Ok(error_response(status)),
     };
@@ -104,9 +108,10 @@
 }
 
 /// Returns the size limit for a body, in bytes.
-fn body_limit(endpoint: HttpEndpoint) -> usize {
+fn body_limit(endpoint: HttpEndpoint, path: &str) -> usize {
     match endpoint {
         HttpEndpoint::Frontend | HttpEndpoint::Readiness => CLIENT_BODY_BYTES,
+        HttpEndpoint::Control if path.starts_with(RUNNER_PATH_PREFIX) => MAX_HEARTBEAT_BYTES,
         HttpEndpoint::Control => CONTROL_BODY_BYTES,
     }
 }
--- a/crates/cluster/protocol/src/agent.rs
+++ b/crates/cluster/protocol/src/agent.rs
@@ -18,6 +18,9 @@
 /// remaining time of the agent's own lease.
 pub const RUNNER_LEASE_MS: u64 = 2_500;
 
+/// The maximum number of active runs at one runner. The scheduler assigns no more, and an agent accepts no longer list.
+pub const MAX_ACTIVE_RUNS: usize = 16_384;
+
 /// The resources that a runner has or that a task requires.
 #[derive(DekuRead, DekuWrite, Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct Resources {
--- a/crates/cluster/scheduler/src/commit_queue.rs
+++ b/crates/cluster/scheduler/src/commit_queue.rs
@@ -3,15 +3,19 @@
 use deku::DekuContainerWrite;
 use sagetrail_protocol::service::{Batch, RecordOperation};
 use sagetrail_protocol::{Message, NodeId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::records::{JobRecord, Key, TaskRecord};
 
 /// The address of a receiver and the message for it.
 type Envelope = (NodeId, Message);
 
+/// The size of a batch, in bytes of keys and values, from which on it is closed at the next opportunity. It is far below
+/// the longest frame, because a batch also takes all changes up to that opportunity.
+const FULL_BATCH_BYTES: usize = 2 << 20;
+
 /// Collects changes of records into numbered batches, and holds each message back until the batch that it depends on is
-/// committed. A batch is open until it is taken for replication.
+/// committed. A batch is open until it is taken for replication or closed because it is full.
 pub(crate) struct CommitQueue {
     /// The number of the open batch, which takes the next change; the first batch of a term has number 1.
     open_batch: u64,
@@ -19,6 +23,10 @@
     committed_batch: u64,
     /// The changes in the open batch: the new value of each record by key. `None` deletes the record.
     changes: BTreeMap<Vec<u8>, Option<Vec<u8>>>,
+    /// The size of all changes added to the open batch, in bytes of keys and values.
+    open_bytes: usize,
+    /// The full batches that have not been taken yet, in the order of their numbers.
+    closed_batches: VecDeque<Batch>,
     /// The messages that are held back, by the number of the batch that they wait for.
     held_messages: BTreeMap<u64, Vec<Envelope>>,
     /// The messages that may be sent now.
@@ -32,6 +40,8 @@
             open_batch: 1,
             committed_batch: 0,
             changes: BTreeMap::new(),
+            open_bytes: 0,
+            closed_batches: VecDeque::new(),
             held_messages: BTreeMap::new(),
             ready_messages: Vec::new(),
         }
@@ -56,10 +66,21 @@
 
     /// Adds a change to the open batch. Returns the batch's number.
     fn change(&mut self, key: Key, value: Option<Vec<u8>>) -> u64 {
-        self.changes.insert(key.to_bytes(), value);
+        let key = key.to_bytes();
+        self.open_bytes += key.len() + value.as_ref().map_or(0, Vec::len);
+        self.changes.insert(key, value);
         self.open_batch
     }
 
+    /// Closes the open batch if it is full, so that no batch outgrows a frame. Must only be called where the changes
+    /// so far may be committed without those that follow.
+    pub(crate) fn close_full_batch(&mut self) {
+        if self.open_bytes >= FULL_BATCH_BYTES {
+            let full = self.close_batch();
+            self.closed_batches.extend(full);
+        }
+    }
+
     /// Returns true once the batch with this number is committed. Number 0, which no batch has, counts as committed: it
     /// stands for changes that need no batch.
     pub(crate) fn is_committed(&self, batch: u64) -> bool {
@@ -92,13 +113,20 @@
         self.ready_messages.extend(released.into_values().flatten());
     }
 
-    /// Closes and takes the open batch; returns `None` if it is empty.
+    /// Takes the oldest batch, which may be the open one; returns `None` if there is no change.
     pub(crate) fn take_batch(&mut self) -> Option<Batch> {
+        let closed = self.closed_batches.pop_front();
+        closed.or_else(|| self.close_batch())
+    }
+
+    /// Closes the open batch; returns `None` if it is empty.
+    fn close_batch(&mut self) -> Option<Batch> {
         if self.changes.is_empty() {
             return None;
         }
         let number = self.open_batch;
         self.open_batch += 1;
+        self.open_bytes = 0;
         let changes = std::mem::take(&mut self.changes);
         let operation = |(key, value)| match value {
             Some(value) => RecordOperation::Put { key, value },
--- a/crates/cluster/scheduler/src/runner.rs
+++ b/crates/cluster/scheduler/src/runner.rs
@@ -1,7 +1,7 @@
 //! The scheduler's state of one runner: the content of its agent's reports, the runs assigned to it, and the commands
 //! sent last.
 
-use sagetrail_protocol::agent::{Resources, StopCommand, AGENT_LEASE_MS};
+use sagetrail_protocol::agent::{Resources, StopCommand, AGENT_LEASE_MS, MAX_ACTIVE_RUNS};
 use sagetrail_protocol::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -221,6 +221,11 @@
         free
     }
 
+    /// Returns how many more runs may be assigned, so that heartbeats can still list all of them.
+    pub(crate) fn free_run_slots(&self) -> u32 {
+        MAX_ACTIVE_RUNS.saturating_sub(self.assigned.len()) as u32
+    }
+
     /// Returns the CPU capacity of all assigned runs, in thousandths of a core.
     pub(crate) fn assigned_cpu(&self) -> u64 {
         let assigned = self.assigned.values();
--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -17,6 +17,7 @@
 mod run_relocation;
 mod runner_commands;
 mod runner_reports;
+mod start_commands;
 mod stragglers;
 mod urgent_demand;
 
@@ -115,11 +116,13 @@
 
     /// Completes the handling of an event: starts due occurrences, places pending steps and sends commands.
     fn finish_event(&mut self, now: Now) {
+        self.commits.close_full_batch();
         self.start_due_occurrences(now);
         let is_pass_needed = self.placement_due && !self.pending.is_empty();
         if is_pass_needed && self.pass_pacing.may_run(now.steady) {
             self.place_pending_steps(now);
         }
+        self.commits.close_full_batch();
         self.send_changed_commands(now);
     }
 
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -76,7 +76,8 @@
                     .get(node)
                     .filter(|reservation| self.pending.contains(reservation.step)),
                 max_starts: if is_ejection_suspended || runner.health.is_healthy() {
-                    runner.pace.max_starts(runner.assigned.len())
+                    let pace_limit = runner.pace.max_starts(runner.assigned.len());
+                    pace_limit.min(runner.free_run_slots())
                 } else {
                     1
                 },
@@ -90,6 +91,10 @@
     fn assign_placements(&mut self, now: Now, placements: &[Placement]) {
         let mut gang_attempts: BTreeMap<StepId, u64> = BTreeMap::new();
         for placement in placements {
+            // The members of a gang are assigned in one batch.
+            if !gang_attempts.contains_key(&placement.step) {
+                self.commits.close_full_batch();
+            }
             let Some(job) = self.jobs.get(placement.step.job) else {
                 continue;
             };
--- a/crates/cluster/scheduler/src/scheduler/runner_commands.rs
+++ b/crates/cluster/scheduler/src/scheduler/runner_commands.rs
@@ -1,12 +1,11 @@
 //! Commands to runners: start every assigned run whose record is committed and that is not active yet, stop every
 //! active run that is not wanted.
 
-use sagetrail_protocol::agent::{
-    RunnerCommands, RunnerReport, StartCommand, StopCommand, AGENT_LEASE_MS,
-};
+use sagetrail_protocol::agent::{RunnerCommands, RunnerReport, StopCommand, AGENT_LEASE_MS};
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::{List, Message, NodeId};
 
+use super::start_commands::WantedStart;
 use super::Scheduler;
 use crate::runner::{CommandSet, CommandedStart, Runner};
 
@@ -43,6 +42,7 @@
             stop: runner.unknown_runs.clone(),
             ..CommandSet::default()
         };
+        let mut starts = Vec::new();
         for (&task, assignment) in &runner.assigned {
             let attempt = assignment.attempt;
             match (assignment.unwanted, assignment.active) {
@@ -51,11 +51,15 @@
                     attempt,
                 }),
                 (false, false) if self.commits.is_committed(assignment.batch) => {
-                    wanted.start.insert(CommandedStart { task, attempt });
+                    starts.push(WantedStart {
+                        start: CommandedStart { task, attempt },
+                        assigned_at: assignment.assigned_at,
+                    });
                 }
                 _ => {}
             }
         }
+        wanted.start = self.select_starts(starts);
         wanted
     }
 
@@ -116,26 +120,6 @@
             self.commits.send(node, Message::RunnerCommands(commands));
         }
     }
-
-    /// Builds a start command with the job's specification and the checkpoint to resume from; `None` if the job has
-    /// ended.
-    fn start_command(&self, start: CommandedStart) -> Option<StartCommand> {
-        let CommandedStart { task, attempt } = start;
-        let job = self.jobs.get(task.step.job)?;
-        let spec = job.spec.as_ref()?;
-        let step = job.step(task.step)?;
-        let checkpoint = if job.stage(task.step)?.gang {
-            step.gang_checkpoint()
-        } else {
-            step.tasks.get(task.index as usize)?.checkpoint.clone()
-        };
-        Some(StartCommand {
-            task: task.to_string().into(),
-            attempt,
-            spec: spec.spec.as_str().into(),
-            checkpoint: checkpoint.into(),
-        })
-    }
 }
 
 /// Stores the commands as the runner's newest and returns their revision. Marks unwanted runs that are not active as
--- a/crates/cluster/scheduler/src/scheduler/runner_reports.rs
+++ b/crates/cluster/scheduler/src/scheduler/runner_reports.rs
@@ -89,6 +89,7 @@
     /// Ends all runs assigned to a runner with `RunEnd::LeaseExpired`.
     pub(super) fn end_all_runs(&mut self, now: Now, node: NodeId) {
         for task in self.runners.assigned_tasks(node) {
+            self.commits.close_full_batch();
             self.end_run(now, EndedRun::lease_expired(AssignedRun { task, node }));
         }
     }
@@ -159,6 +160,7 @@
             }
         }
         for task_id in updated {
+            self.commits.close_full_batch();
             self.write_task(task_id);
         }
     }
@@ -175,6 +177,7 @@
                 continue;
             }
             runner.last_recorded_end = run.number;
+            self.commits.close_full_batch();
             self.end_finished_run(now, from, run);
             let batch = self.commits.newest();
             if let Some(runner) = self.runners.get_mut(from) {
@@ -234,6 +237,7 @@
         }
         for task in ended {
             let run = AssignedRun { task, node: from };
+            self.commits.close_full_batch();
             self.end_run(now, EndedRun::lease_expired(run));
         }
     }
