scheduler: a gang may be the trial of a suspect runner, and no trial lasts

Cause: a suspect runner takes a single run until one has succeeded there, and a gang of two needs two at once, so it never is the trial. Nothing else makes the runner healthy. A long-running task as trial run kept the state in the same way, because it never ends, and a long run for as long as it takes.

Change: a trial is one start, and all members of a gang count as one start, also at a straggler on trial. Gangs use suspect runners only if others do not suffice. Another trial may start 2 s after the last one. A long-running task that was started after the ejection and stays at work for 2 s is a success.

Why it works: each kind of work that can need a runner is now a trial that ends within a known time, by a success, a failure or the 2 s.

--- a/crates/cluster/scheduler/benches/placement.rs
+++ b/crates/cluster/scheduler/benches/placement.rs
@@ -33,6 +33,8 @@
         labels: vec!["a".to_owned(), format!("r1-{}", number / RUNNERS_PER_RACK)].into(),
         reservation: None,
         max_starts: u32::MAX,
+        run_slots: u32::MAX,
+        is_suspect: false,
         is_straggler: false,
     };
     (0..count).map(runner).collect()
--- a/crates/cluster/scheduler/src/outlier_ejection.rs
+++ b/crates/cluster/scheduler/src/outlier_ejection.rs
@@ -3,7 +3,8 @@
 //! The evidence against a runner is a cumulative sum of log likelihood ratios (CUSUM; Page, "Continuous Inspection
 //! Schemes", Biometrika 41, 1954). Each end of a run is evidence for or against the hypothesis that the runner fails
 //! the share `UNHEALTHY_FAILURE_RATE` of its runs, compared with the failure rate of its service (the baseline). From
-//! `SUSPECT_SCORE` on, the runner is suspect: it is ejected for a while and then gets a single trial run.
+//! `SUSPECT_SCORE` on, the runner is suspect: it is ejected for a while and then gets a single trial, which is one run or
+//! all members of one gang. A trial keeps other work away for a limited time only, because the run may take long.
 
 use sagetrail_protocol::Time;
 use std::collections::BTreeMap;
@@ -26,6 +27,9 @@
 /// The time after the end of an ejection, in milliseconds, after which the next one starts again at
 /// `FIRST_EJECTION_MS`.
 const EJECTION_RESET_MS: u64 = 20_000;
+/// The time after which another trial may start although the last one has not ended, in milliseconds. A long-running
+/// task that stays at work for this time has succeeded as a trial, because it never ends.
+pub(crate) const TRIAL_MS: u64 = 2_000;
 /// The weight, in ended runs, of the initial assumption that a service's failure rate is at its lower bound. It keeps
 /// the failures of a single runner from determining the rate.
 const PRIOR_RUNS: f64 = 100.0;
@@ -81,8 +85,8 @@
     ejection_ms: u64,
     /// The time at which the newest ejection ends or ended.
     ejected_until: Time,
-    /// A trial run is assigned to this suspect runner and has not ended.
-    on_trial: bool,
+    /// The time at which the newest trial of this suspect runner started; `None` if it has ended.
+    trial_started_at: Option<Time>,
 }
 
 impl RunnerHealth {
@@ -99,7 +103,7 @@
 
     /// Records a run that failed or stalled here and whose task had not failed at another runner before.
     pub(crate) fn record_failure(&mut self, now: Time, job: JobId, baseline: FailureRate) {
-        self.on_trial = false;
+        self.trial_started_at = None;
         if self.last_failed_job == Some(job) && self.is_healthy() {
             return;
         }
@@ -121,19 +125,28 @@
         self.score < SUSPECT_SCORE
     }
 
-    /// Returns true if a run may start now: the runner is healthy, or its ejection is over and no trial run is in
-    /// flight.
+    /// Returns true if a run may start now: the runner is healthy, or its ejection is over and no trial is under way.
     pub(crate) fn may_start(&self, now: Time) -> bool {
-        self.is_healthy() || (now >= self.ejected_until && !self.on_trial)
+        self.is_healthy() || (now >= self.ejected_until && !self.is_on_trial(now))
     }
 
-    /// Records that a run was assigned. At a suspect runner it is a trial run, and no other run starts before its end.
-    pub(crate) fn record_start(&mut self) {
-        self.on_trial = !self.is_healthy();
+    fn is_on_trial(&self, now: Time) -> bool {
+        self.trial_started_at
+            .is_some_and(|started| now < started.plus_millis(TRIAL_MS))
     }
 
-    /// Records that a run is over, whatever its result, so that a suspect runner may get another trial run.
+    /// Returns true if a run that was assigned at this time is a trial of the runner, which is still suspect.
+    pub(crate) fn is_trial_run(&self, assigned_at: Time) -> bool {
+        !self.is_healthy() && assigned_at >= self.ejected_until
+    }
+
+    /// Records that a run was assigned. At a suspect runner it is a trial.
+    pub(crate) fn record_start(&mut self, now: Time) {
+        self.trial_started_at = (!self.is_healthy()).then_some(now);
+    }
+
+    /// Records that a run is over, whatever its result, so that a suspect runner may get another trial.
     pub(crate) fn end_trial(&mut self) {
-        self.on_trial = false;
+        self.trial_started_at = None;
     }
 }
--- a/crates/cluster/scheduler/src/placement/gang.rs
+++ b/crates/cluster/scheduler/src/placement/gang.rs
@@ -16,6 +16,7 @@
 }
 
 /// The slots for a gang at one runner, together with the runner's rack.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct RackSlots<'a> {
     /// The runner's rack; empty if the runner has none.
     pub rack: &'a str,
--- a/crates/cluster/scheduler/src/placement/inputs.rs
+++ b/crates/cluster/scheduler/src/placement/inputs.rs
@@ -20,8 +20,13 @@
     pub labels: Arc<[String]>,
     /// Reserves the free capacity for one step; steps of a higher priority may still start there.
     pub reservation: Option<Reservation>,
-    /// The maximum number of runs that may start at the runner in this pass; a suspect runner gets a single trial run.
+    /// The maximum number of starts at the runner in this pass; a suspect runner gets a single one as its trial. All
+    /// members of a gang together count as one start, because none of them can start without the others.
     pub max_starts: u32,
+    /// The maximum number of runs that may be added at the runner, members of gangs included.
+    pub run_slots: u32,
+    /// The runner is suspect of failing its runs, so gangs start there only if other runners do not suffice.
+    pub is_suspect: bool,
     /// The runner works much slower than others, so only steps with `takes_stragglers` start there.
     pub is_straggler: bool,
 }
--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -192,6 +192,7 @@
             && self.leaves_reserved_capacity(step)
             && !reserved_for_other
             && runner.max_starts > 0
+            && runner.run_slots > 0
             && fits(step.resources, runner.free)
             && step.anti_affinity_left(runner.node) > 0
             && step.constraints.all_in(&runner.labels)
@@ -205,14 +206,20 @@
         step.priority == URGENT || step.long_running || fits(needed, self.free)
     }
 
-    /// Places one task of a step at a runner.
+    /// Places one task of a step without a gang at a runner.
     fn place(&mut self, step: usize, runner: usize) {
+        self.place_task(step, runner);
+        self.runners[runner].max_starts -= 1;
+    }
+
+    /// Places one task of a step at a runner, without counting it as a start.
+    fn place_task(&mut self, step: usize, runner: usize) {
         let is_far = self.cost(step, runner) > 0.0;
         let step = &mut self.steps[step];
         let runner = &mut self.runners[runner];
         subtract(&mut runner.free, step.resources);
         subtract(&mut self.free, step.resources);
-        runner.max_starts -= 1;
+        runner.run_slots -= 1;
         step.waiting -= 1;
         if is_far {
             step.max_far_tasks = step.max_far_tasks.saturating_sub(1);
@@ -237,28 +244,41 @@
         }
     }
 
-    /// Places all tasks of a gang, or none of them.
+    /// Places all tasks of a gang, or none of them. Suspect runners take part only if the others do not suffice, because
+    /// a member that fails ends the runs of all.
     fn place_gang(&mut self, step: usize) {
+        let slots: Vec<RackSlots> = (0..self.runners.len())
+            .map(|runner| self.rack_slots(step, runner))
+            .collect();
+        let is_suspect = |slots: &&RackSlots| self.runners[slots.slots.runner].is_suspect;
+        let mut chosen = None;
+        if slots.iter().any(|slots| is_suspect(&slots)) {
+            let healthy = slots.iter().filter(|slots| !is_suspect(slots));
+            let healthy: Vec<RackSlots> = healthy.copied().collect();
+            chosen = self.choose_gang_slots(step, &healthy);
+        }
+        let chosen = chosen.or_else(|| self.choose_gang_slots(step, &slots));
+        for GangSlots { runner, tasks } in chosen.unwrap_or_default() {
+            (0..tasks).for_each(|_| self.place_task(step, runner));
+            self.runners[runner].max_starts -= 1;
+        }
+    }
+
+    fn choose_gang_slots(&self, step: usize, available: &[RackSlots]) -> Option<Vec<GangSlots>> {
         let gang = &self.steps[step];
         let spread = if gang.holds_for_rack {
             RackSpread::Forbidden
         } else {
             RackSpread::Allowed
         };
-        let available: Vec<RackSlots> = (0..self.runners.len())
-            .map(|runner| self.rack_slots(step, runner))
-            .collect();
-        let chosen = choose_slots(&available, gang.waiting, spread);
-        for GangSlots { runner, tasks } in chosen.unwrap_or_default() {
-            (0..tasks).for_each(|_| self.place(step, runner));
-        }
+        choose_slots(available, gang.waiting, spread)
     }
 
     /// Returns the slots for a gang's tasks at one runner, with the runner's rack.
     fn rack_slots(&self, step: usize, runner: usize) -> RackSlots<'_> {
         let tasks = if self.may_start(step, runner) {
             let (step, runner) = (&self.steps[step], &self.runners[runner]);
-            let limit = step.waiting.min(runner.max_starts);
+            let limit = step.waiting.min(runner.run_slots);
             fit_count(step.resources, runner.free, limit).min(step.anti_affinity_left(runner.node))
         } else {
             0
--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -19,6 +19,7 @@
 mod runner_reports;
 mod start_commands;
 mod stragglers;
+mod trials;
 mod urgent_demand;
 
 use rand::SeedableRng;
@@ -131,6 +132,7 @@
         self.expire_unreachable_runners(now);
         self.update_pace_verdicts(now);
         self.relocate_runs(now);
+        self.end_passed_trials(now);
         self.reorder_pending_steps();
         self.place_pending_steps(now);
         for service in self.pending.services() {
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -76,11 +76,12 @@
                     .get(node)
                     .filter(|reservation| self.pending.contains(reservation.step)),
                 max_starts: if is_ejection_suspended || runner.health.is_healthy() {
-                    let pace_limit = runner.pace.max_starts(runner.assigned.len());
-                    pace_limit.min(runner.free_run_slots())
+                    runner.pace.max_starts(runner.assigned.len())
                 } else {
                     1
                 },
+                run_slots: runner.free_run_slots(),
+                is_suspect: !runner.health.is_healthy(),
                 is_straggler: runner.pace.is_straggler(),
             })
             .filter(|available| available.free.cpu > 0)
@@ -152,7 +153,7 @@
         let Some(runner) = self.runners.get_mut(node) else {
             return;
         };
-        runner.health.record_start();
+        runner.health.record_start(now.steady);
         let mut assignment = Assignment::new(attempt, resources, now.steady);
         assignment.progress = RunProgress::new(expected_run_ms(stage, runner, far_x));
         runner.assigned.insert(task_id, assignment);
--- a/crates/cluster/scheduler/src/scheduler/run_outcome.rs
+++ b/crates/cluster/scheduler/src/scheduler/run_outcome.rs
@@ -105,7 +105,7 @@
     }
 
     /// Records a successful run as evidence for the runner's health.
-    fn record_success(&mut self, node: NodeId) {
+    pub(super) fn record_success(&mut self, node: NodeId) {
         let Some(runner) = self.runners.get_mut(node) else {
             return;
         };
