scheduler: nothing is drained, preempted or reserved for a step that cannot start

Cause: drains, preemption and the reserved capacity judged a step by labels and by the size of an empty runner. None of them asked whether it can start with anti-affinity, beside long-running tasks, or with all members of a gang. Such a step stays pending for good, and what is kept for it has no end.

Change: one question for all three, how many waiting tasks of the step fit once all runs have ended that end by themselves (future_slots.rs).

--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod diagnostics;
 mod drain_reservation;
+mod future_slots;
 mod job_lifecycle;
 mod pending_steps;
 mod placement_round;
--- a/crates/cluster/scheduler/src/scheduler/drain_reservation.rs
+++ b/crates/cluster/scheduler/src/scheduler/drain_reservation.rs
@@ -14,6 +14,7 @@
 use crate::pending_queue::PendingKey;
 use crate::reservation::{Reservation, ReservationKind};
 use crate::spec::Stage;
+use crate::step_run::StepRun;
 
 /// The time that a step waits before runners are drained for it, in milliseconds.
 const DRAIN_WAIT_MS: u64 = 1_000;
@@ -26,7 +27,7 @@
 /// A runner that could take tasks of the step if it were empty.
 struct Candidate {
     node: NodeId,
-    /// The number of tasks that fit into the empty runner; above 0.
+    /// The number of tasks that fit once all runs have ended there that end by themselves; above 0.
     slots: u32,
     /// The processor capacity assigned on the runner, in thousandths of a core.
     load: u64,
@@ -57,8 +58,9 @@
             expires_at: now.steady.plus_millis(DRAIN_RESERVATION_MS),
             kind: ReservationKind::Draining,
         };
+        let candidates = self.find_drain_candidates(now, service, key, &stage, step, task_count);
         let mut remaining = task_count;
-        for candidate in self.find_drain_candidates(now, service, key, &stage, task_count) {
+        for candidate in candidates {
             if remaining == 0 {
                 break;
             }
@@ -83,18 +85,22 @@
         service: &str,
         key: PendingKey,
         stage: &Stage,
+        step: &StepRun,
         task_count: u32,
     ) -> Vec<Candidate> {
         let mut racks: BTreeMap<&str, Vec<Candidate>> = BTreeMap::new();
         for (node, runner) in self.runners.of_service(service) {
-            let slots = fit_count(stage.resources(), runner.capacity, u32::MAX);
+            let slots_if_empty = fit_count(stage.resources(), runner.capacity, u32::MAX);
             let is_suitable = self.reservations.allows(node, key.priority)
-                && stage.constraints.all_in(&runner.labels)
-                && (1..=MAX_TASKS_PER_RUNNER).contains(&slots)
+                && (1..=MAX_TASKS_PER_RUNNER).contains(&slots_if_empty)
                 && runner.is_usable(now.steady);
             if !is_suitable {
                 continue;
             }
+            let slots = self.future_capacity(node, runner).slots(stage, step);
+            if slots == 0 {
+                continue;
+            }
             let within_rack = stage.gang && stage.rack_local;
             let rack = if within_rack { runner.rack() } else { "" };
             let load = runner.assigned_cpu();
--- a/crates/cluster/scheduler/src/scheduler/preemption.rs
+++ b/crates/cluster/scheduler/src/scheduler/preemption.rs
@@ -8,6 +8,7 @@
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::NodeId;
 
+use super::future_slots::anti_affinity_left;
 use super::Scheduler;
 use crate::capacity::{add, fits};
 use crate::ids::{StepId, TaskId};
@@ -16,7 +17,7 @@
 use crate::reserved_capacity::URGENT;
 use crate::runner::Runner;
 use crate::spec::Stage;
-use crate::step_run::AssignedRun;
+use crate::step_run::{AssignedRun, StepRun};
 use crate::victims::{offers_for_gang, PreemptionOffer, Victim};
 
 /// The number of pending steps of a service that one round considers, from the front of its backlog.
@@ -80,7 +81,7 @@
             return;
         };
         let task_count = step.waiting.len() as u32;
-        let mut offers = self.find_preemption_offers(now, service, key, &stage);
+        let mut offers = self.find_preemption_offers(now, service, key, &stage, step);
         if stage.gang {
             offers = offers_for_gang(offers, stage.rack_local, task_count);
         }
@@ -119,11 +120,12 @@
         service: &str,
         key: PendingKey,
         stage: &Stage,
+        step: &StepRun,
     ) -> Vec<PreemptionOffer> {
         let is_suitable = |node: NodeId, runner: &Runner| {
             self.reservations.allows(node, key.priority)
                 && stage.constraints.all_in(&runner.labels)
-                && self.within_anti_affinity(node, key, stage)
+                && anti_affinity_left(stage, step, node) > 0
                 && runner.is_usable(now.steady)
                 && fits(stage.resources(), runner.capacity)
         };
@@ -132,27 +134,13 @@
             .of_service(service)
             .filter(|&(node, runner)| is_suitable(node, runner))
             .filter_map(|(node, runner)| {
-                self.preemption_offer(now, node, runner, key.priority, stage)
+                self.preemption_offer(now, node, runner, key.priority, stage, step)
             })
             .collect();
         offers.sort_by_key(PreemptionOffer::loss_core_ms);
         offers
     }
 
-    /// Returns true if anti-affinity allows one more task of the step on the runner.
-    fn within_anti_affinity(&self, node: NodeId, key: PendingKey, stage: &Stage) -> bool {
-        if stage.anti_affinity == 0 {
-            return true;
-        }
-        let tasks = self
-            .jobs
-            .step(key.step)
-            .into_iter()
-            .flat_map(|step| &step.tasks);
-        let assigned = tasks.filter(|task| task.runner == Some(node)).count();
-        assigned < stage.anti_affinity as usize
-    }
-
     /// Returns the capacity that preemption on a runner can free for tasks of the step; `None` if not one task would
     /// fit.
     fn preemption_offer(
@@ -162,6 +150,7 @@
         runner: &Runner,
         priority: u32,
         stage: &Stage,
+        step: &StepRun,
     ) -> Option<PreemptionOffer> {
         let mut victims = Vec::new();
         let mut free = runner.free_capacity();
@@ -183,7 +172,8 @@
             }
         }
         let wanted = stage.resources();
-        PreemptionOffer::new(node, runner.rack(), free, victims, wanted, stage.count)
+        let limit = stage.count.min(anti_affinity_left(stage, step, node));
+        PreemptionOffer::new(node, runner.rack(), free, victims, wanted, limit)
     }
 
     /// Returns the work that stopping a run would waste, in core-milliseconds; `None` if the run may not be preempted
--- a/crates/cluster/scheduler/src/scheduler/urgent_demand.rs
+++ b/crates/cluster/scheduler/src/scheduler/urgent_demand.rs
@@ -5,11 +5,20 @@
 use sagetrail_protocol::node::Now;
 use std::collections::BTreeMap;
 
+use super::future_slots::{can_ever_start, FutureCapacity};
 use super::Scheduler;
 use crate::capacity::{add, combine};
-use crate::pending_queue::PendingKey;
 use crate::reserved_capacity::{UrgentDemand, URGENT};
 use crate::runner::Runner;
+use crate::spec::Stage;
+use crate::step_run::StepRun;
+
+/// The demand of urgent work in one service, and the service's runners that take new work.
+#[derive(Default)]
+struct ServiceDemand {
+    demand: UrgentDemand,
+    runners: Vec<FutureCapacity>,
+}
 
 impl Scheduler {
     /// Recomputes the capacity reserved for urgent work, no more often than `ReservedCapacity` allows.
@@ -17,25 +26,27 @@
         if !self.reserved_capacity.start_update(now.steady) {
             return;
         }
-        let mut demands: BTreeMap<String, UrgentDemand> = BTreeMap::new();
-        for (_, runner) in self.runners.iter().filter(|(_, runner)| runner.has_runner) {
-            let demand = demands.entry(runner.service.clone()).or_default();
-            self.add_usage(now, demand, runner);
+        let mut demands: BTreeMap<String, ServiceDemand> = BTreeMap::new();
+        for (node, runner) in self.runners.iter().filter(|(_, runner)| runner.has_runner) {
+            let service = demands.entry(runner.service.clone()).or_default();
+            self.add_usage(&mut service.demand, runner);
+            // A runner that takes no new work has no capacity to reserve.
+            if runner.is_reachable(now.steady) {
+                add(&mut service.demand.capacity, runner.capacity);
+                service.runners.push(self.future_capacity(node, runner));
+            }
         }
-        for (service, demand) in &mut demands {
-            self.add_waiting(now, demand, service);
+        for (name, service) in &mut demands {
+            self.add_waiting(service, name);
         }
-        for (service, demand) in demands {
-            self.reserved_capacity.update(now.steady, &service, demand);
+        for (name, service) in demands {
+            self.reserved_capacity
+                .update(now.steady, &name, service.demand);
         }
     }
 
-    /// Adds a runner's capacity and the resources of its urgent runs to the demand.
-    fn add_usage(&self, now: Now, demand: &mut UrgentDemand, runner: &Runner) {
-        // A runner that takes no new work has no capacity to reserve.
-        if runner.is_reachable(now.steady) {
-            add(&mut demand.capacity, runner.capacity);
-        }
+    /// Adds the resources of a runner's urgent runs to the demand.
+    fn add_usage(&self, demand: &mut UrgentDemand, runner: &Runner) {
         for (task, assignment) in &runner.assigned {
             let job = self.jobs.get(task.step.job);
             if job.is_some_and(|job| job.priority() == URGENT) {
@@ -44,38 +55,25 @@
         }
     }
 
-    /// Adds the resources that the waiting tasks of urgent steps ask for, if these steps can run somewhere.
-    fn add_waiting(&self, now: Now, demand: &mut UrgentDemand, service: &str) {
-        let pending = self.pending.all(service);
+    /// Adds the resources that the waiting tasks of urgent steps ask for, if these steps can start at some time.
+    fn add_waiting(&self, service: &mut ServiceDemand, name: &str) {
+        let pending = self.pending.all(name);
         for key in pending.iter().take_while(|key| key.priority == URGENT) {
-            if self.may_run_somewhere(now, service, key) {
-                add(&mut demand.waiting, self.waiting_resources(key));
+            let (Some(stage), Some(step)) = (self.jobs.stage(key.step), self.jobs.step(key.step))
+            else {
+                continue;
+            };
+            if can_ever_start(stage, step, &service.runners) {
+                add(&mut service.demand.waiting, waiting_resources(stage, step));
             }
         }
     }
+}
 
-    /// Returns true if some runner that takes new work meets the constraints of a step.
-    fn may_run_somewhere(&self, now: Now, service: &str, key: &PendingKey) -> bool {
-        let Some(stage) = self.jobs.stage(key.step) else {
-            return false;
-        };
-        let is_suitable = |runner: &Runner| {
-            runner.is_reachable(now.steady) && stage.constraints.all_in(&runner.labels)
-        };
-        self.runners
-            .of_service(service)
-            .any(|(_, runner)| is_suitable(runner))
-    }
-
-    /// Returns the resources that all waiting tasks of a step together ask for.
-    fn waiting_resources(&self, key: &PendingKey) -> Resources {
-        let (Some(stage), Some(step)) = (self.jobs.stage(key.step), self.jobs.step(key.step))
-        else {
-            return Resources::default();
-        };
-        let task_count = step.waiting.len() as u64;
-        combine(stage.resources(), Resources::default(), |wanted, _| {
-            wanted.saturating_mul(task_count)
-        })
-    }
+/// Returns the resources that all waiting tasks of a step together ask for.
+fn waiting_resources(stage: &Stage, step: &StepRun) -> Resources {
+    let task_count = step.waiting.len() as u64;
+    combine(stage.resources(), Resources::default(), |wanted, _| {
+        wanted.saturating_mul(task_count)
+    })
 }
