scheduler: reserved GPUs keep back no task that needs none

Seen by callers: while urgent work uses all GPUs of a service and more of it waits, jobs of lower priority that need no GPU stand still beside idle cores.

Cause: what is reserved for urgent work was compared with what is free for each kind of resource, also for kinds that the task does not ask for.

Change: only the kinds of resources that a task asks for are compared.

Measured: a_task_starts_whatever_is_reserved_of_resources_that_it_does_not_need: red before, green now.

--- a/crates/cluster/scheduler/src/capacity.rs
+++ b/crates/cluster/scheduler/src/capacity.rs
@@ -7,6 +7,17 @@
     wanted.cpu <= free.cpu && wanted.mem_mb <= free.mem_mb && wanted.gpu <= free.gpu
 }
 
+/// Returns true if `reserved` stays free after `wanted` has been taken from `free`. A kind of resource that is not wanted
+/// does not count, however little of it is free.
+pub(crate) fn leaves_free(wanted: Resources, reserved: Resources, free: Resources) -> bool {
+    let leaves = |wanted: u64, reserved: u64, free: u64| {
+        wanted == 0 || reserved.saturating_add(wanted) <= free
+    };
+    leaves(wanted.cpu, reserved.cpu, free.cpu)
+        && leaves(wanted.mem_mb, reserved.mem_mb, free.mem_mb)
+        && leaves(wanted.gpu, reserved.gpu, free.gpu)
+}
+
 /// Returns how many times `wanted` fits into `free`, at most `limit`.
 pub(crate) fn fit_count(wanted: Resources, free: Resources, limit: u32) -> u32 {
     let quotient = |wanted: u64, free: u64| free.checked_div(wanted).unwrap_or(u64::from(limit));
--- a/crates/cluster/scheduler/src/placement/pass.rs
+++ b/crates/cluster/scheduler/src/placement/pass.rs
@@ -20,7 +20,7 @@
 
 use super::gang::{choose_slots, GangSlots, RackSlots, RackSpread};
 use super::inputs::{AvailableRunner, PendingStep, Placement};
-use crate::capacity::{add, fit_count, fits, subtract};
+use crate::capacity::{add, fit_count, fits, leaves_free, subtract};
 use crate::reserved_capacity::URGENT;
 
 /// The minimum probability P at which a task may start; below it the runner is skipped. It is just under 1 - 1/e. A
@@ -201,9 +201,9 @@
     /// Returns true if one more task of the step leaves the capacity reserved for urgent work free. Urgent steps may
     /// use that capacity. Long-running steps may use it too, because otherwise they could wait forever.
     fn leaves_reserved_capacity(&self, step: &PendingStep) -> bool {
-        let mut needed = self.reserved;
-        add(&mut needed, step.resources);
-        step.priority == URGENT || step.long_running || fits(needed, self.free)
+        step.priority == URGENT
+            || step.long_running
+            || leaves_free(step.resources, self.reserved, self.free)
     }
 
     /// Places one task of a step without a gang at a runner.
--- a/crates/cluster/scheduler/tests/reserved_capacity.rs
+++ b/crates/cluster/scheduler/tests/reserved_capacity.rs
@@ -70,3 +70,43 @@
     cluster.execute_commands();
     assert_eq!(cluster.running().len(), 6);
 }
+
+/// Returns true if a job is running for which there is free capacity twice over.
+fn is_other_job_running(cluster: &TestCluster) -> bool {
+    let running = cluster.running();
+    running
+        .iter()
+        .any(|run| run.task.starts_with(LOW_PRIORITY_JOB))
+}
+
+/// Lets time pass while all runners report and execute their commands.
+fn pass_ms(cluster: &mut TestCluster, millis: u64) {
+    for _ in 0..millis / 100 {
+        cluster.advance_ms(100);
+        cluster.report_all();
+        cluster.execute_commands();
+    }
+}
+
+/// GPUs that are reserved must not keep back a task that needs none, even if all GPUs are in use.
+#[test]
+fn a_task_starts_whatever_is_reserved_of_resources_that_it_does_not_need() {
+    let mut cluster = TestCluster::new(4);
+    for runner in cluster.runners.values_mut() {
+        runner.capacity.gpu = 2;
+    }
+    cluster.report_all();
+    submit_urgent(
+        &mut cluster,
+        r#"{"stages":[{"count":20,"cpu":100,"gpu":1}]}"#,
+    );
+    cluster.execute_commands();
+    assert_eq!(cluster.running().len(), 8);
+    cluster.submit(
+        LOW_PRIORITY_JOB,
+        r#"{"stages":[{"count":1,"cpu":3000,"mem_mb":1}]}"#,
+    );
+    cluster.commit();
+    pass_ms(&mut cluster, 300);
+    assert!(is_other_job_running(&cluster));
+}
