scheduler: urgent demand is remembered up to the service's capacity only

Seen by callers: for a minute after a large urgent backlog has been cancelled or done, a job of lower priority may stand still although less than half of the service is in use.

Cause: the remembered peak of urgent demand had no limit and halves every 6 s, so after a backlog far beyond the capacity the reservation stays at its upper limit until the peak has come down to that. The same holds where most runners have left.

Change: the peak is limited by the capacity of the runners in reach.

--- a/crates/cluster/scheduler/src/reserved_capacity.rs
+++ b/crates/cluster/scheduler/src/reserved_capacity.rs
@@ -40,12 +40,20 @@
 }
 
 impl Peak {
-    /// Decays the peak and raises it to the resources that are needed now.
-    fn update(&mut self, now: Time, needed: Resources) {
+    /// Decays the peak and raises it to the resources that are needed now, but not above the service's capacity:
+    /// however long the backlog, no more can ever be in use at once. While no runner is in reach, the capacity is
+    /// unknown.
+    fn update(&mut self, now: Time, needed: Resources, capacity: Resources) {
         let decay = 0.5f64.powf(now.millis_since(self.updated_at) as f64 / PEAK_HALF_LIFE_MS);
-        self.needed = combine(self.needed, needed, |former, needed| {
+        let peak = combine(self.needed, needed, |former, needed| {
             ((former as f64 * decay) as u64).max(needed)
         });
+        let has_runners = capacity.cpu > 0;
+        self.needed = if has_runners {
+            combine(peak, capacity, u64::min)
+        } else {
+            peak
+        };
         self.updated_at = now;
     }
 }
@@ -81,7 +89,7 @@
         let mut needed = demand.running;
         add(&mut needed, demand.waiting);
         let peak = self.peaks.entry(service.to_owned()).or_default();
-        peak.update(now, needed);
+        peak.update(now, needed, demand.capacity);
         let missing = combine(peak.needed, demand.running, u64::saturating_sub);
         let limit = combine(demand.capacity, Resources::default(), |capacity, _| {
             capacity * MAX_RESERVED_PERCENT / 100
