scheduler: steps that cannot be placed no longer fill a placement pass

Cause: a pass takes the first 256 steps of the backlog and drops those that can start nowhere only afterwards. A round of preemption takes the first eight in the same way.

Change: the backlog is grouped by what steps need. A class that no available runner can take is skipped as a whole, and at least four steps of each other class are considered. Preemption and the demand of urgent work skip classes that no runner can ever take.

--- a/crates/cluster/scheduler/src/lib.rs
+++ b/crates/cluster/scheduler/src/lib.rs
@@ -61,6 +61,7 @@
 mod agent_session;
 mod capacity;
 mod commit_queue;
+mod demand_class;
 mod due_times;
 mod error;
 mod ids;
--- a/crates/cluster/scheduler/src/pending_queue.rs
+++ b/crates/cluster/scheduler/src/pending_queue.rs
@@ -1,7 +1,9 @@
 //! The backlog: for each service, the steps with tasks that wait for a runner, in the order in which they are placed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+use crate::demand_class::DemandClass;
 use crate::ids::StepId;
 use crate::objective::Expectation;
 
@@ -22,50 +24,73 @@
     pub step: StepId,
 }
 
-/// The service and the key under which a step is in the queue.
+/// The place of a step in the queue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Position {
     /// The name of the service.
     service: String,
-    /// The key within the service.
+    /// The class of the step.
+    class: DemandClass,
+    /// The key within the class.
     key: PendingKey,
 }
 
-/// The pending steps of all services. Invariant: both maps hold the same steps, and no set is empty.
+/// The pending steps of one service by their class. No set is empty.
+type ServiceSteps = BTreeMap<DemandClass, BTreeSet<PendingKey>>;
+
+/// The pending steps of all services. Invariant: both maps hold the same steps, and no inner map is empty.
 #[derive(Default)]
 pub(crate) struct PendingQueue {
     /// The pending steps of each service, by the service's name.
-    services: BTreeMap<String, BTreeSet<PendingKey>>,
+    services: BTreeMap<String, ServiceSteps>,
     /// The position of each pending step.
     positions: BTreeMap<StepId, Position>,
 }
 
 impl PendingQueue {
-    /// Adds a step, or moves it to a new position if it is already pending.
-    pub(crate) fn insert(&mut self, service: &str, key: PendingKey) {
+    /// Adds a step, or moves it to a new position if it is already pending. The class of a step never changes.
+    pub(crate) fn insert(
+        &mut self,
+        service: &str,
+        key: PendingKey,
+        class: impl FnOnce() -> DemandClass,
+    ) {
         let unchanged = |position: &Position| position.service == service && position.key == key;
         if self.positions.get(&key.step).is_some_and(unchanged) {
             return;
         }
-        self.remove(key.step);
+        let class = self.take(key.step).map_or_else(class, |old| old.class);
         let service = service.to_owned();
-        let keys = self.services.entry(service.clone()).or_default();
-        keys.insert(key);
-        self.positions.insert(key.step, Position { service, key });
+        let classes = self.services.entry(service.clone()).or_default();
+        classes.entry(class.clone()).or_default().insert(key);
+        let position = Position {
+            service,
+            class,
+            key,
+        };
+        self.positions.insert(key.step, position);
     }
 
     /// Removes a step if it is pending.
     pub(crate) fn remove(&mut self, step: StepId) {
-        let Some(Position { service, key }) = self.positions.remove(&step) else {
-            return;
-        };
-        let Some(keys) = self.services.get_mut(&service) else {
-            return;
-        };
-        keys.remove(&key);
-        if keys.is_empty() {
-            self.services.remove(&service);
+        self.take(step);
+    }
+
+    /// Removes a step and returns where it was; `None` if it is not pending.
+    fn take(&mut self, step: StepId) -> Option<Position> {
+        let position = self.positions.remove(&step)?;
+        if let Some(classes) = self.services.get_mut(&position.service) {
+            if let Some(keys) = classes.get_mut(&position.class) {
+                keys.remove(&position.key);
+                if keys.is_empty() {
+                    classes.remove(&position.class);
+                }
+            }
+            if classes.is_empty() {
+                self.services.remove(&position.service);
+            }
         }
+        Some(position)
     }
 
     /// Returns true if the step is pending.
@@ -78,21 +103,63 @@
         self.services.keys().cloned().collect()
     }
 
-    /// Returns the first `limit` pending steps of a service, in the order in which they are placed.
-    pub(crate) fn first(&self, service: &str, limit: usize) -> Vec<PendingKey> {
-        let keys = self.services.get(service);
-        keys.map(|keys| keys.iter().take(limit).copied().collect())
-            .unwrap_or_default()
+    /// Returns pending steps of a service in the order in which they are placed: the first `limit` steps of the classes
+    /// that `accepts` allows, and at least the first `limit_per_class` steps of each of these classes. Steps of other
+    /// classes cost nothing.
+    pub(crate) fn window(
+        &self,
+        service: &str,
+        limit: usize,
+        limit_per_class: usize,
+        accepts: impl Fn(&DemandClass) -> bool,
+    ) -> Vec<PendingKey> {
+        let classes = self.services.get(service).into_iter().flatten();
+        let accepted = classes.filter(|(class, _)| accepts(class));
+        let sets: Vec<&BTreeSet<PendingKey>> = accepted.map(|(_, keys)| keys).collect();
+        let mut window = first_of_all(&sets, limit);
+        let last = window.last().copied();
+        for keys in sets {
+            let first_of_class = keys.iter().take(limit_per_class);
+            window.extend(first_of_class.filter(|key| last.is_none_or(|last| **key > last)));
+        }
+        window.sort_unstable();
+        window
+    }
+
+    /// Returns the pending steps of a service that have this priority and whose class `accepts` allows, class by class.
+    pub(crate) fn of_priority(
+        &self,
+        service: &str,
+        priority: u32,
+        accepts: impl Fn(&DemandClass) -> bool,
+    ) -> Vec<PendingKey> {
+        let classes = self.services.get(service).into_iter().flatten();
+        let accepted = classes.filter(|(class, _)| accepts(class));
+        accepted
+            .flat_map(|(_, keys)| {
+                keys.iter()
+                    .skip_while(move |key| key.priority < priority)
+                    .take_while(move |key| key.priority == priority)
+            })
+            .copied()
+            .collect()
+    }
+
+    /// Returns the first pending step of a service, in the order in which they are placed.
+    pub(crate) fn first(&self, service: &str) -> Option<PendingKey> {
+        let classes = self.services.get(service)?;
+        classes.values().filter_map(BTreeSet::first).min().copied()
     }
 
     /// Returns the number of pending steps of a service.
     pub(crate) fn len(&self, service: &str) -> usize {
-        self.services.get(service).map_or(0, BTreeSet::len)
+        let classes = self.services.get(service).into_iter().flatten();
+        classes.map(|(_, keys)| keys.len()).sum()
     }
 
     /// Returns all pending steps of a service, in the order in which they are placed.
     pub(crate) fn all(&self, service: &str) -> Vec<PendingKey> {
-        self.first(service, usize::MAX)
+        self.window(service, usize::MAX, 0, |_| true)
     }
 
     /// Returns true if no step of any service is pending.
@@ -100,3 +167,18 @@
         self.services.is_empty()
     }
 }
+
+/// Returns the first `limit` keys of all sets together, in ascending order.
+fn first_of_all(sets: &[&BTreeSet<PendingKey>], limit: usize) -> Vec<PendingKey> {
+    let mut rest: Vec<_> = sets.iter().map(|keys| keys.iter()).collect();
+    let mut heads: BinaryHeap<Reverse<(PendingKey, usize)>> = BinaryHeap::new();
+    for (set, keys) in rest.iter_mut().enumerate() {
+        heads.extend(keys.next().map(|key| Reverse((*key, set))));
+    }
+    let mut first = Vec::new();
+    while let Some(Reverse((key, set))) = heads.pop().filter(|_| first.len() < limit) {
+        first.push(key);
+        heads.extend(rest[set].next().map(|key| Reverse((*key, set))));
+    }
+    first
+}
--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -43,8 +43,12 @@
 use crate::time_of_day::TimeOfDay;
 use crate::timers::{Activity, Timers};
 
-/// The number of pending steps of a service that one placement pass considers, from the front of its backlog.
+/// The number of pending steps of a service that one placement pass considers, from the front of its backlog. Steps of
+/// classes that no runner can take are not counted.
 const PENDING_STEPS_PER_PASS: usize = 256;
+/// The number of pending steps of each class that one placement pass considers, even if many steps of other classes
+/// are in front of them.
+const PENDING_STEPS_PER_CLASS: usize = 4;
 
 /// Settings of the deployment that the scheduler needs.
 #[derive(Clone, Copy, Debug)]
@@ -148,7 +152,13 @@
     /// Updates the positions of pending steps in the backlog, which depend on the time left until they are due.
     fn reorder_pending_steps(&mut self) {
         for service in self.pending.services() {
-            for key in self.pending.first(&service, PENDING_STEPS_PER_PASS) {
+            let window = self.pending.window(
+                &service,
+                PENDING_STEPS_PER_PASS,
+                PENDING_STEPS_PER_CLASS,
+                |_| true,
+            );
+            for key in window {
                 self.refresh_step(key.step);
             }
         }
--- a/crates/cluster/scheduler/src/scheduler/diagnostics.rs
+++ b/crates/cluster/scheduler/src/scheduler/diagnostics.rs
@@ -37,7 +37,7 @@
             return;
         }
         for service in self.pending.services() {
-            let Some(&key) = self.pending.first(&service, 1).first() else {
+            let Some(key) = self.pending.first(&service) else {
                 continue;
             };
             let (mut racks, hold_limit) = self.racks_and_hold_limit(now, &service);
--- a/crates/cluster/scheduler/src/scheduler/future_slots.rs
+++ b/crates/cluster/scheduler/src/scheduler/future_slots.rs
@@ -4,6 +4,7 @@
 //! as long.
 
 use sagetrail_protocol::agent::Resources;
+use sagetrail_protocol::node::Now;
 use sagetrail_protocol::NodeId;
 use std::sync::Arc;
 
@@ -35,6 +36,15 @@
 }
 
 impl Scheduler {
+    /// Returns what the usable runners of a service can offer once all runs there have ended that end by themselves.
+    pub(super) fn future_capacities(&self, now: Now, service: &str) -> Vec<FutureCapacity> {
+        let runners = self.runners.of_service(service);
+        let usable = runners.filter(|(_, runner)| runner.is_usable(now.steady));
+        usable
+            .map(|(node, runner)| self.future_capacity(node, runner))
+            .collect()
+    }
+
     /// Returns what a runner can offer once all runs there have ended that end by themselves.
     pub(super) fn future_capacity(&self, node: NodeId, runner: &Runner) -> FutureCapacity {
         let mut capacity = runner.capacity;
--- a/crates/cluster/scheduler/src/scheduler/job_lifecycle.rs
+++ b/crates/cluster/scheduler/src/scheduler/job_lifecycle.rs
@@ -4,6 +4,7 @@
 use sagetrail_protocol::node::Now;
 
 use super::Scheduler;
+use crate::demand_class::DemandClass;
 use crate::due_times::DueTime;
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
@@ -115,7 +116,11 @@
             order: job.attributes.order,
             step: step_id,
         };
-        self.pending.insert(&job.attributes.queue.service, key);
+        let Some(stage) = job.stage(step_id) else {
+            return;
+        };
+        let service = &job.attributes.queue.service;
+        self.pending.insert(service, key, || DemandClass::of(stage));
         self.placement_due = true;
     }
 
--- a/crates/cluster/scheduler/src/scheduler/placement_round.rs
+++ b/crates/cluster/scheduler/src/scheduler/placement_round.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeMap;
 
 use super::stragglers::expected_run_ms;
-use super::{Scheduler, PENDING_STEPS_PER_PASS};
+use super::{Scheduler, PENDING_STEPS_PER_CLASS, PENDING_STEPS_PER_PASS};
 use crate::capacity::fits;
+use crate::demand_class::DemandClass;
 use crate::ids::{StepId, TaskId};
 use crate::placement::{AvailableRunner, Pass, PendingStep, Placement};
 use crate::runner::{Assignment, Runner};
@@ -39,9 +40,17 @@
             return;
         }
         let (mut racks, hold_limit) = self.racks_and_hold_limit(now, service);
-        let steps: Vec<PendingStep> = self
-            .pending
-            .first(service, PENDING_STEPS_PER_PASS)
+        let may_start = |class: &DemandClass| {
+            let mut available = runners.iter();
+            available.any(|runner| class.may_fit(runner.free, &runner.labels))
+        };
+        let window = self.pending.window(
+            service,
+            PENDING_STEPS_PER_PASS,
+            PENDING_STEPS_PER_CLASS,
+            may_start,
+        );
+        let steps: Vec<PendingStep> = window
             .into_iter()
             .filter_map(|key| self.pending_step(now, key, &mut racks, hold_limit))
             .filter(|step| may_start_somewhere(step, &runners))
--- a/crates/cluster/scheduler/src/scheduler/preemption.rs
+++ b/crates/cluster/scheduler/src/scheduler/preemption.rs
@@ -20,7 +20,8 @@
 use crate::step_run::{AssignedRun, StepRun};
 use crate::victims::{offers_for_gang, PreemptionOffer, Victim};
 
-/// The number of pending steps of a service that one round considers, from the front of its backlog.
+/// The number of pending steps of a service that one round considers, from the front of its backlog. Steps of classes
+/// that no runner can ever take are not counted.
 const STEPS_PER_ROUND: usize = 8;
 /// The time that a step waits before it preempts runs, in milliseconds. An urgent step does not wait.
 const PREEMPTION_WAIT_MS: u64 = 150;
@@ -36,7 +37,12 @@
         let pending = &self.pending;
         self.reservations
             .expire(now.steady, |step| pending.contains(step));
-        for key in self.pending.first(service, STEPS_PER_ROUND) {
+        let runners = self.future_capacities(now, service);
+        let window = self.pending.window(service, STEPS_PER_ROUND, 0, |class| {
+            let mut runners = runners.iter();
+            runners.any(|runner| class.may_fit(runner.capacity, &runner.labels))
+        });
+        for key in window {
             let is_entitled = key.priority == URGENT || self.has_waited(now, key.step);
             let is_held = self.holds_for_near_runner(now, service, key.step);
             if !self.reservations.has_step(key.step) && is_entitled && !is_held {
--- a/crates/cluster/scheduler/src/scheduler/urgent_demand.rs
+++ b/crates/cluster/scheduler/src/scheduler/urgent_demand.rs
@@ -57,8 +57,12 @@
 
     /// Adds the resources that the waiting tasks of urgent steps ask for, if these steps can start at some time.
     fn add_waiting(&self, service: &mut ServiceDemand, name: &str) {
-        let pending = self.pending.all(name);
-        for key in pending.iter().take_while(|key| key.priority == URGENT) {
+        let runners = &service.runners;
+        let pending = self.pending.of_priority(name, URGENT, |class| {
+            let mut runners = runners.iter();
+            runners.any(|runner| class.may_fit(runner.capacity, &runner.labels))
+        });
+        for key in pending {
             let (Some(stage), Some(step)) = (self.jobs.stage(key.step), self.jobs.step(key.step))
             else {
                 continue;
