agent: a reply that offered all starts does not change the order of the next one

Cause: after a reply that was lost, the next one began with other starts even if the lost one had offered all.

Change: the order changes only after a reply that had to leave starts out.

--- a/crates/cluster/agent/src/start_offers.rs
+++ b/crates/cluster/agent/src/start_offers.rs
@@ -3,7 +3,7 @@
 //! A runner drops a reply that is longer than 4 MiB and one that takes longer than a second. A dropped reply starts
 //! nothing and extends no lease, and the same reply would be dropped again. Therefore a reply offers only a limited
 //! amount of starts, the amount is halved while the runner lists none of what it was offered, and the next reply offers
-//! other starts first.
+//! first the starts that found no place.
 
 use sagetrail_protocol::Text;
 
@@ -16,12 +16,15 @@
 /// The size down to which an unsuccessful offer is reduced, in bytes of JSON. A single start may exceed it.
 const MIN_OFFER_BYTES: usize = 64 << 10;
 
-/// The first start that a reply offered, and the number of starts offered with it.
+/// The starts that a reply offered.
 #[derive(Debug)]
 struct Offer {
     first_task: Text,
     first_attempt: u64,
+    /// The number of offered starts.
     count: usize,
+    /// Further starts were outstanding.
+    is_partial: bool,
 }
 
 /// The amount of starts to offer in the next reply, and the commanded start with which it begins.
@@ -56,7 +59,9 @@
             self.max_bytes = (self.max_bytes * 2).min(MAX_OFFER_BYTES);
         } else {
             self.max_bytes = (self.max_bytes / 2).max(MIN_OFFER_BYTES);
-            self.position = self.position.wrapping_add(offer.count);
+            if offer.is_partial {
+                self.position = self.position.wrapping_add(offer.count);
+            }
         }
     }
 
@@ -66,11 +71,13 @@
             let first = self.position % outstanding.len();
             outstanding.rotate_left(first);
         }
+        let outstanding_count = outstanding.len();
         let offered = take_within(outstanding, self.max_bytes);
         self.last_offer = offered.first().map(|first| Offer {
             first_task: first.task.into(),
             first_attempt: first.attempt,
             count: offered.len(),
+            is_partial: offered.len() < outstanding_count,
         });
         offered
     }
