--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,80 +1,105 @@
-"""One of seven runners is lost for good. Its standing tasks cannot move, since each job has one task a runner
-(`anti_affinity`). They stand at the front of the queue, and a job behind them is never started."""
+"""A burst of timed jobs, each an hourly batch for a year. The leader holds each time of each job in memory and goes over
+the `memory_mb` of its settings, for which the platform kills it; so does each leader after it. Nothing that was accepted
+is answered any more."""
 
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand-ins-2"))
 
-from lab import Cluster, Runner, call, CannotRun, configuration, finish, route, run_case
+from lab import Cluster, call, CannotRun, configuration, finish, route, run_case
 
-RUNNERS = 7  # one of them is 14% of the service; srv_crash: share (.15)
-STANDING = 260
-CAPACITY = 16000
+USUAL = 40
+BURST_X = 2.6  # burst: x times the traffic of a class; x = 2.6 is the largest of boe-genova
+TIMES = 8760  # hourly for a year
+HOUR_MS = 3600 * 1000
 FINISH_S = 14.0
-WATCH_S = 3.0
-JOB = "5c0e7a21d94b36f8"
+ASK_S = 25.0
+MEMORY_MB = 256  # of a core machine, as the settings of the site say
+CORES = [f"core{number}" for number in range(1, 6)]
+
+
+class Platform:
+    """Kills a process that goes over its `memory_mb`, and starts it again after a short delay, as DEPLOY says."""
+
+    def __init__(self, cluster, record):
+        self.cluster, self.record = cluster, record
+        self.is_up = True
+        self.kills = {name: 0 for name in CORES}
+        self.most = {name: 0.0 for name in CORES}
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def resident_mb(self, name):
+        try:
+            with open(f"/proc/{self.cluster.processes[name].pid}/status", encoding="ascii") as file:
+                return next(int(line.split()[1]) / 1024 for line in file if line.startswith("VmRSS"))
+        except (OSError, StopIteration):
+            return 0.0
+
+    def watch(self):
+        while self.is_up:
+            for name in CORES:
+                used = self.resident_mb(name)
+                self.most[name] = max(self.most[name], used)
+                if used > MEMORY_MB:
+                    self.record.line(f"platform: {name} uses {used:.0f} MB of {MEMORY_MB} and is killed")
+                    self.kills[name] += 1
+                    self.cluster.kill(name)
+                    time.sleep(0.3)
+                    self.cluster.start(name)
+            time.sleep(0.05)
+
+    def stop(self):
+        self.is_up = False
+        self.thread.join()
 
 
 def main(record, trouble):
-    cluster = Cluster(record, cores=5, fronts=1, sides=RUNNERS)
+    cluster = Cluster(record, cores=5, fronts=1)
     cluster.start_all()
     cluster.bootstrap = False
     cluster.configure(configuration(1, [route("r-queue", "/queue/", "service")], ["service"]))
-    work_s = {"watch": 1000.0, "cleanup": 1.0}
-    runners = [Runner(record, cluster.control(f"side{number}"), "service",
-                      {"cpu": CAPACITY, "mem_mb": 32768, "gpu": 0}, ["a", f"r1-{number}"],
-                      lambda task, spec: work_s[spec], f"runner{number}", log_tasks=False)
-               for number in range(1, RUNNERS + 1)]
     cluster.wait_ready()
     time.sleep(1.0)
-    standing = {"spec": "watch", "stages": [{"count": RUNNERS, "cpu": 10, "mem_mb": 16, "estimate_ms": 1000,
-                                             "anti_affinity": 1, "long_running": True}]}
-    accepted = 0
-    for number in range(STANDING):
-        status, _ = call(cluster.front(), "POST", f"/queue/{number:016x}", standing, {"Deadline-Ms": "3000"})
-        accepted += status == 200
-    record.line(f"client: {accepted} standing jobs of {RUNNERS} tasks accepted")
-    if accepted != STANDING:
-        raise CannotRun("a standing job was not accepted")
-    ends = time.monotonic() + 25
-    while min(len(runner.active) for runner in runners) < STANDING and time.monotonic() < ends:
-        time.sleep(0.1)
-    record.line(f"standing tasks at work: {[len(runner.active) for runner in runners]}")
-    up = runners
-    if trouble:
-        runners[-1].crash()
-        up = runners[:-1]
-        time.sleep(5.0)
-    job = {"spec": "cleanup", "stages": [{"count": 2, "cpu": 12, "mem_mb": 16, "estimate_ms": 1000}]}
-    status, _ = call(cluster.front(), "POST", f"/queue/{JOB}", job, {"Deadline-Ms": "3000"})
-    record.line(f"client: POST of {JOB}: {status}")
-    if status != 200:
-        raise CannotRun("the job was not accepted")
-    # The end of the traffic. `finish_s` later the job is looked at for 3 s.
+    platform = Platform(cluster, record)
+    first_ms = int(time.time() * 1000) + HOUR_MS
+    job = {"spec": "hourly", "stages": [{"count": 2, "cpu": 240, "mem_mb": 250, "estimate_ms": 560}], "repeat": TIMES,
+           "first_run_ms": first_ms, "interval_ms": HOUR_MS}
+    accepted = []
+    burst_ends = time.monotonic() + 15
+    for number in range(int(USUAL * (BURST_X if trouble else 1))):
+        if time.monotonic() > burst_ends:
+            break
+        status, _ = call(cluster.front(), "POST", f"/queue/{number:016x}", job, {"Deadline-Ms": "3000"})
+        if status == 200:
+            accepted.append(f"{number:016x}")
+        else:
+            record.line(f"client: POST of job {number}: {status}")
+    record.line(f"client: {len(accepted)} timed jobs of {TIMES} times accepted")
+    if len(accepted) < USUAL:
+        raise CannotRun("too few jobs were accepted")
     traffic_ended = time.monotonic()
-    starved_since = None
-    broken = False
-    state = b""
-    while time.monotonic() < traffic_ended + FINISH_S + WATCH_S + 1.0 and b"completed" not in state and not broken:
-        status, state = call(cluster.front(), "GET", f"/queue/{JOB}", headers={"Deadline-Ms": "3000"})
-        used = sum(10 * len([1 for run in list(runner.active.values()) if run.spec == "watch"]) for runner in up)
-        runs = sum(1 for runner in up for task in list(runner.active) if task.startswith(JOB))
-        capacity = CAPACITY * len(up)
-        record.line(f"client: GET: {status} {state.decode(errors='replace')}; runs of the job: {runs}; "
-                    f"{used} of {capacity} thousandths of a core in use")
-        now = time.monotonic()
-        is_starved = runs == 0 and used * 2 < capacity and capacity - used > 2 * 2 * 12 and b"completed" not in state
-        starved_since = (starved_since or now) if is_starved else None
-        broken = (now > traffic_ended + FINISH_S + WATCH_S and starved_since is not None
-                  and now - max(starved_since, traffic_ended + FINISH_S) >= WATCH_S)
-        time.sleep(0.5)
-    record.line(f"job {JOB}: started {any(event[2].startswith(JOB) for r in runners for event in r.events)}")
-    for runner in runners:
-        runner.stop()
-    return finish(record, cluster, broken)
+    time.sleep(FINISH_S)
+    # From `finish_s` after the end of the traffic on, jobs are asked for.
+    known = set()
+    while time.monotonic() < traffic_ended + FINISH_S + ASK_S:
+        for job_id in [accepted[0], accepted[len(accepted) // 2], accepted[-1]]:
+            status, state = call(cluster.front(), "GET", f"/queue/{job_id}", headers={"Deadline-Ms": "3000"}, timeout=3.5)
+            record.line(f"client: GET of {job_id}: {status} {state.decode(errors='replace')}")
+            if status == 200:
+                known.add(job_id)
+        if len(known) == 3:
+            break
+        time.sleep(0.3)
+    platform.stop()
+    record.line(f"most memory, MB: { {name: round(most) for name, most in platform.most.items()} }")
+    record.line(f"killed for memory: {platform.kills}")
+    record.line(f"jobs of three that were answered {FINISH_S:.0f} to {FINISH_S + ASK_S:.0f} s after the traffic: {len(known)}")
+    return finish(record, cluster, len(known) < 3)
 
 
 run_case(main, FOLDER)
