--- a/review/stand-ins-2/lab.py
+++ b/review/stand-ins-2/lab.py
@@ -340,10 +340,11 @@
     LISTED = 500
 
     def __init__(self, record, control, service, capacity, labels, work_s, name, hold_max_s=10.0, stop_s=0.05,
-                 heartbeat_s=1.5, log_tasks=True):
+                 heartbeat_s=1.5, retry_s=0.2, log_tasks=True):
         self.record, self.control, self.service, self.name = record, control, service, name
         self.capacity, self.labels, self.work_s = capacity, labels, work_s
         self.hold_max_s, self.stop_s, self.heartbeat_s = hold_max_s, stop_s, heartbeat_s
+        self.retry_s = retry_s  # the pause after a heartbeat without an answer
         self.health = serve_health((control[0], 0))
         self.address = f"{control[0]}:{self.health.server_address[1]}"
         self.instance = f"i-{random.randrange(16 ** 8):08x}"
@@ -404,7 +405,7 @@
         status, answer = call(self.control, "POST", f"/v1/instances/{self.instance}/heartbeat", body, timeout=1.0,
                               host="side")
         if status is None or not 200 <= status < 300 or time.monotonic() - now > 1.0:
-            return 0.2
+            return self.retry_s
         with self.lock:
             return self.take(now, json.loads(answer or b"{}"))
 
