--- a/review/stand-ins-2/lab.py
+++ b/review/stand-ins-2/lab.py
@@ -19,6 +19,8 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 BINARIES = os.path.join(ROOT, "target", "cluster")
 HOST = "queue.example"
+# A runner listens on its side machine at the port after `control`, in each of its lives.
+APP_OFFSET = 1
 
 # The bounds of the site boe-genova, as `fleetbench wire` prints them.
 BOUNDS = {
@@ -152,7 +154,6 @@
                 self.ips[f"{kind}{number}"] = f"{self.net}.{offset + number}"
         self.seed_ips = [self.ips[f"core{number}"] for number in range(1, min(cores, 3) + 1)]
         self.seeds_of = {}
-        self.apps = {}
         atexit.register(self.close)
 
     def free_ports(self):
@@ -192,8 +193,8 @@
         ]
         if kind == "core":
             lines.append(f'data_dir = "{self.data_dir(name)}"')
-        if name in self.apps:
-            lines.append(f'app = "{self.apps[name]}"')
+        if kind == "side":
+            lines += [f'app = "{ip}:{self.control_port + APP_OFFSET}"', 'service = "service"']
         lines += ["[zones]", 'z1 = "r1"', "[bind_addrs]"]
         if kind == "front":
             lines += [f'frontend = "{ip}:{self.front_port}"', f'readiness = "{ip}:{self.ready_port}"']
@@ -345,7 +346,7 @@
         self.capacity, self.labels, self.work_s = capacity, labels, work_s
         self.hold_max_s, self.stop_s, self.heartbeat_s = hold_max_s, stop_s, heartbeat_s
         self.retry_s = retry_s  # the pause after a heartbeat without an answer
-        self.health = serve_health((control[0], 0))
+        self.health = serve_health((control[0], control[1] + APP_OFFSET))
         self.address = f"{control[0]}:{self.health.server_address[1]}"
         self.instance = f"i-{random.randrange(16 ** 8):08x}"
         self.sequence, self.fence, self.number, self.observed = 0, 0, 0, 0
