scheduler: an end that a heartbeat had no room for is no run that never started

Cause: a report with all starts resolved that lists a withdrawn run neither as active nor as finished ended that run as one that never started. A runner lists 500 ends at once, so the list of finished runs may be cut short.

Change: while the runner's lease is valid, a report with 500 ends or more ends no absent run. The listed ends are recorded and observed, and the next heartbeats list the others. Of the same kind, at the agent: a start that such a heartbeat does not list no longer counts as dropped, so the next offers are not halved. The test cluster's runner lists 500 ends at once and starts nothing while it drains or what has ended there, as the protocol says.

--- a/crates/cluster/agent/src/heartbeat.rs
+++ b/crates/cluster/agent/src/heartbeat.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use sagetrail_protocol::agent::{ActiveRun, FinishedRun, Resources, RunEnd, MAX_ACTIVE_RUNS};
+use sagetrail_protocol::agent::{
+    may_omit_ends, ActiveRun, FinishedRun, Resources, RunEnd, MAX_ACTIVE_RUNS,
+};
 use sagetrail_protocol::Text;
 
 use crate::checkpoint_budget::CheckpointBudget;
@@ -122,6 +124,7 @@
         ListedRuns {
             active: active.collect(),
             finished: finished.collect(),
+            may_omit_ends: may_omit_ends(&self.finished),
         }
     }
 }
@@ -131,6 +134,7 @@
 pub(crate) struct ListedRuns<'a> {
     active: HashSet<(&'a str, u64)>,
     finished: HashSet<(&'a str, u64)>,
+    may_omit_ends: bool,
 }
 
 impl ListedRuns<'_> {
@@ -139,6 +143,11 @@
         self.contains_active(task, attempt) || self.finished.contains(&(task, attempt))
     }
 
+    /// Returns whether the heartbeat may have had no room for further ended runs.
+    pub(crate) fn may_omit_ends(&self) -> bool {
+        self.may_omit_ends
+    }
+
     /// Returns whether the run is listed as active.
     pub(crate) fn contains_active(&self, task: &str, attempt: u64) -> bool {
         self.active.contains(&(task, attempt))
--- a/crates/cluster/agent/src/start_offers.rs
+++ b/crates/cluster/agent/src/start_offers.rs
@@ -57,11 +57,14 @@
         if listed.contains(&offer.first_task, offer.first_attempt) {
             // The starts that were taken are no longer outstanding, so the same position is that of the next ones.
             self.max_bytes = (self.max_bytes * 2).min(MAX_OFFER_BYTES);
-        } else {
+            return;
+        }
+        // A run that was taken may have ended already without a place in the list.
+        if !listed.may_omit_ends() {
             self.max_bytes = (self.max_bytes / 2).max(MIN_OFFER_BYTES);
-            if offer.is_partial {
-                self.position = self.position.wrapping_add(offer.count);
-            }
+        }
+        if offer.is_partial {
+            self.position = self.position.wrapping_add(offer.count);
         }
     }
 
--- a/crates/cluster/agent/tests/message_sizes.rs
+++ b/crates/cluster/agent/tests/message_sizes.rs
@@ -9,7 +9,7 @@
 
 use serde_json::{json, Value};
 
-use sagetrail_protocol::agent::{RunnerCommands, StartCommand, StopCommand};
+use sagetrail_protocol::agent::{RunnerCommands, StartCommand, StopCommand, MAX_LISTED_ENDS};
 use sagetrail_protocol::frame;
 use sagetrail_protocol::node::HttpReply;
 use sagetrail_protocol::{List, Message};
@@ -143,6 +143,30 @@
     assert_eq!(runner.active.len(), STARTS);
 }
 
+/// A runner whose list of ended runs is full may have taken the starts and ended their runs without a place for them.
+#[test]
+fn a_reply_is_not_followed_by_a_shorter_one_while_ends_may_be_unlisted() {
+    let mut runner = Runner::new(starts_with(&"x".repeat(MAX_SPEC_BYTES), ""));
+    let first = runner.call();
+    runner.agent.advance(25);
+    let finished: Vec<Value> = (1..=MAX_LISTED_ENDS)
+        .map(|number| {
+            json!([
+                number,
+                format!("5c0e7a21d94b36f8.0.1.{number}"),
+                1,
+                "done",
+                ""
+            ])
+        })
+        .collect();
+    let next = runner
+        .agent
+        .heartbeat_of(INSTANCE, 4, json!({ "finished": finished }));
+    assert_eq!(offered(&next).len(), offered(&first).len());
+    assert_ne!(offered(&next), offered(&first));
+}
+
 #[test]
 fn starts_that_a_runner_ignores_do_not_keep_the_others_from_it() {
     let mut runner = Runner::new(starts_with(&"x".repeat(MAX_SPEC_BYTES), ""));
--- a/crates/cluster/protocol/src/agent.rs
+++ b/crates/cluster/protocol/src/agent.rs
@@ -20,6 +20,15 @@
 
 /// The maximum number of active runs at one runner. The scheduler assigns no more, and an agent accepts no longer list.
 pub const MAX_ACTIVE_RUNS: usize = 16_384;
+/// The maximum number of ended runs that a runner lists in one heartbeat. It lists further ones once the scheduler has
+/// observed these.
+pub const MAX_LISTED_ENDS: usize = 500;
+
+/// Returns true if a heartbeat's list of ended runs may have been cut short. A run that such a heartbeat does not list
+/// may have ended in any way, also as done.
+pub fn may_omit_ends(finished: &[FinishedRun]) -> bool {
+    finished.len() >= MAX_LISTED_ENDS
+}
 
 /// The resources that a runner has or that a task requires.
 #[derive(DekuRead, DekuWrite, Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -104,7 +113,7 @@
     pub revision: u64,
     /// True once a heartbeat has arrived that the runner sent after it had processed or dropped every answer given
     /// under earlier commands. A run that is then neither active nor finished was not started under those commands and
-    /// never will be.
+    /// never will be, unless [`may_omit_ends`] holds for the list of ended runs.
     pub starts_resolved: bool,
     /// True if a runner is known. Otherwise the fields below are empty, except `lease_expired`.
     pub has_runner: bool,
@@ -128,7 +137,7 @@
     pub labels: List<Text>,
     /// All active runs.
     pub active: List<ActiveRun>,
-    /// All ended runs whose end the scheduler has not observed yet.
+    /// The ended runs whose end the scheduler has not observed yet: the first [`MAX_LISTED_ENDS`] of them.
     pub finished: List<FinishedRun>,
     /// True if every lease granted to the runner has expired without a heartbeat, or the runner was found dead. All of
     /// its runs have then ended, and `active` is empty. A runner that has deregistered may still serve; it is only
--- a/crates/cluster/scheduler/src/scheduler/runner_reports.rs
+++ b/crates/cluster/scheduler/src/scheduler/runner_reports.rs
@@ -1,6 +1,6 @@
 //! Reports from agents: which runs are active, which have ended, and which can no longer be running.
 
-use sagetrail_protocol::agent::{FinishedRun, RunnerReport, StopCommand};
+use sagetrail_protocol::agent::{may_omit_ends, FinishedRun, RunnerReport, StopCommand};
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::NodeId;
 
@@ -210,9 +210,11 @@
     }
 
     /// Ends assigned runs that the report lists neither as active nor as finished, and that can no longer start or be
-    /// active. Other absent runs become unwanted if the runner's lease has expired.
+    /// active. Other absent runs become unwanted if the runner's lease has expired. While the runner's lease is valid,
+    /// nothing follows from a list of ended runs that may be cut short.
     fn end_absent_runs(&mut self, now: Now, from: NodeId, report: &RunnerReport) {
         let is_current_term = report.term == self.term;
+        let lists_all_runs = report.starts_resolved && !may_omit_ends(&report.finished);
         let Some(runner) = self.runners.get_mut(from) else {
             return;
         };
@@ -223,7 +225,7 @@
             let is_withdrawn = assignment
                 .withdrawn_in_revision
                 .is_some_and(|revision| is_current_term && report.revision >= revision);
-            let cannot_start = is_withdrawn && (report.starts_resolved || report.lease_expired);
+            let cannot_start = is_withdrawn && (lists_all_runs || report.lease_expired);
             let was_active_and_expired = report.lease_expired && assignment.seen_active;
             if cannot_start || was_active_and_expired {
                 ended.push(task);
--- a/crates/cluster/scheduler/tests/test_cluster/mod.rs
+++ b/crates/cluster/scheduler/tests/test_cluster/mod.rs
@@ -7,7 +7,7 @@
 mod config;
 mod runner;
 
-use sagetrail_protocol::agent::{ActiveRun, RunEnd, RunnerCommands, RunnerReport};
+use sagetrail_protocol::agent::{ActiveRun, RunEnd, RunnerCommands, RunnerReport, MAX_LISTED_ENDS};
 use sagetrail_protocol::bounds::Bounds;
 use sagetrail_protocol::client::{ClientMethod, ClientReply, ClientRequest};
 use sagetrail_protocol::node::Now;
@@ -273,7 +273,12 @@
                 .map(|label| label.as_str().into())
                 .collect(),
             active: active.collect(),
-            finished: runner.finished.clone().into(),
+            finished: runner
+                .finished
+                .iter()
+                .take(MAX_LISTED_ENDS)
+                .cloned()
+                .collect(),
             lease_expired: runner.lease_expired,
             since_heartbeat_ms: 0,
         })
@@ -307,7 +312,7 @@
                 continue;
             }
             for start in commands.start.iter() {
-                runner.active.insert(start.task.0.clone(), start.attempt);
+                runner.start(&start.task, start.attempt);
             }
             for stop in commands.stop.iter() {
                 runner.end(&stop.task, RunEnd::Stopped);
--- a/crates/cluster/scheduler/tests/test_cluster/runner.rs
+++ b/crates/cluster/scheduler/tests/test_cluster/runner.rs
@@ -71,6 +71,13 @@
             .is_some_and(|&ended| attempt <= ended)
     }
 
+    /// Starts a run, unless it has ended here. The agent of a draining runner offers no starts.
+    pub(crate) fn start(&mut self, task: &str, attempt: u64) {
+        if !self.draining && !self.has_ended(task, attempt) {
+            self.active.insert(task.to_owned(), attempt);
+        }
+    }
+
     /// Ends an active run. The end is reported until the scheduler acknowledges it.
     pub(crate) fn end(&mut self, task: &str, end: RunEnd) {
         let Some(attempt) = self.active.remove(task) else {
