--- a/crates/cluster/cluster-node/src/core_process.rs
+++ b/crates/cluster/cluster-node/src/core_process.rs
@@ -2,12 +2,12 @@
 //! it is elected.
 
 use sagetrail_control_plane::{CoreNode, CoreSettings};
-use sagetrail_protocol::bounds::Bounds;
 use sagetrail_protocol::node::{Node, Now, Outbox};
 use sagetrail_protocol::service::{Service, ServiceFactory};
-use sagetrail_scheduler::{Scheduler, SchedulerSettings};
+use sagetrail_scheduler::{CoreResources, Scheduler, SchedulerSettings};
 
 use crate::context::ProcessContext;
+use crate::settings::Limits;
 
 /// Creates the logic of a core process.
 pub fn make(context: ProcessContext, now: Now, outbox: &mut Outbox) -> Box<dyn Node> {
@@ -20,13 +20,24 @@
         tolerated_machines: context.settings.fault_tolerance.machines,
         seed: context.seed,
     };
-    let factory = scheduler_factory(context.bounds);
+    let factory = scheduler_factory(SchedulerSettings {
+        bounds: context.bounds,
+        resources: core_resources(&context.settings.limits),
+    });
     Box::new(CoreNode::new(settings, context.image, factory, now, outbox))
 }
 
-fn scheduler_factory(bounds: Bounds) -> ServiceFactory {
+fn core_resources(limits: &Limits) -> CoreResources {
+    let disk_mb = limits.disk_mb.0;
+    CoreResources {
+        memory_mb: limits.memory_mb.0,
+        disk_mb: (disk_mb > 0.0).then_some(disk_mb),
+    }
+}
+
+fn scheduler_factory(settings: SchedulerSettings) -> ServiceFactory {
     Box::new(move |now, restored| {
-        let scheduler = Scheduler::new(SchedulerSettings { bounds }, now, restored);
+        let scheduler = Scheduler::new(settings, now, restored);
         Box::new(scheduler) as Box<dyn Service + Send>
     })
 }
--- a/crates/cluster/cluster-node/src/settings.rs
+++ b/crates/cluster/cluster-node/src/settings.rs
@@ -87,6 +87,9 @@
     /// The memory, in megabytes; above 0.
     #[validate(custom(function = check::is_positive))]
     pub memory_mb: Number,
+    /// The disk, in megabytes; 0 if it has no limit, or for a process without a disk.
+    #[validate(custom(function = check::is_not_negative))]
+    pub disk_mb: Number,
     /// The number of file descriptors; at least 64.
     #[validate(range(min = 64))]
     pub max_fds: u32,
@@ -96,6 +99,7 @@
     fn default() -> Limits {
         Limits {
             memory_mb: Number(DEFAULT_MEMORY_MB),
+            disk_mb: Number(0.0),
             max_fds: DEFAULT_MAX_FDS,
         }
     }
--- a/crates/cluster/cluster-node/tests/stored/lone_core.rs
+++ b/crates/cluster/cluster-node/tests/stored/lone_core.rs
@@ -14,7 +14,7 @@
 };
 use sagetrail_protocol::service::{Service, ServiceFactory};
 use sagetrail_protocol::{Message, NodeId, Time};
-use sagetrail_scheduler::{Scheduler, SchedulerSettings};
+use sagetrail_scheduler::{CoreResources, Scheduler, SchedulerSettings};
 
 /// The id of the core process, which is the only member.
 pub(crate) const ME: NodeId = NodeId {
@@ -220,8 +220,14 @@
 
 fn factory() -> ServiceFactory {
     Box::new(|now, restored| {
-        let bounds = Bounds::default();
-        let scheduler = Scheduler::new(SchedulerSettings { bounds }, now, restored);
+        let settings = SchedulerSettings {
+            bounds: Bounds::default(),
+            resources: CoreResources {
+                memory_mb: 256.0,
+                disk_mb: None,
+            },
+        };
+        let scheduler = Scheduler::new(settings, now, restored);
         Box::new(scheduler) as Box<dyn Service + Send>
     })
 }
--- a/crates/cluster/control-plane/src/terms.rs
+++ b/crates/cluster/control-plane/src/terms.rs
@@ -328,14 +328,10 @@
         if leadership.service.is_some() || !is_base_committed || !is_fresh {
             return;
         }
-        let records = &self.replica.records.0;
         let restored = Restored {
             term: leadership.term,
             node: self.node,
-            records: records
-                .iter()
-                .map(|(key, value)| (key.clone(), value.clone()))
-                .collect(),
+            records: &self.replica.records.0,
             config: view.config().cloned(),
             seed: self.random.random(),
         };
--- a/crates/cluster/control-plane/tests/support/journal.rs
+++ b/crates/cluster/control-plane/tests/support/journal.rs
@@ -70,13 +70,9 @@
         self.ready.push((to, Message::ClientReply(reply)));
     }
 
-    fn start(shared: SharedJournal, restored: Restored) -> Counter {
+    fn start(shared: SharedJournal, restored: Restored<'_>) -> Counter {
         let mut journal = shared.lock().unwrap();
-        let committed: BTreeSet<u64> = restored
-            .records
-            .iter()
-            .map(|(key, _)| number_of(key))
-            .collect();
+        let committed: BTreeSet<u64> = restored.records.keys().map(|key| number_of(key)).collect();
         let lost: Vec<&u64> = journal.acked.difference(&committed).collect();
         assert!(
             lost.is_empty(),
--- a/crates/cluster/protocol/src/service.rs
+++ b/crates/cluster/protocol/src/service.rs
@@ -1,6 +1,7 @@
 //! The interface between the control plane and the service that runs on the leader and stores its state in replicated
 //! records. This service is the scheduler.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::id::{NodeId, Term};
@@ -44,13 +45,13 @@
 }
 
 /// The state from which the service of a term starts.
-pub struct Restored {
+pub struct Restored<'a> {
     /// The term for which this process was elected.
     pub term: Term,
     /// The id of this process.
     pub node: NodeId,
-    /// All records that may have been committed, as (key, value), sorted by key.
-    pub records: Vec<(Vec<u8>, Vec<u8>)>,
+    /// All records that may have been committed, by key.
+    pub records: &'a BTreeMap<Vec<u8>, Vec<u8>>,
     /// The newest configuration, read at a quorum after the election; `None` if there is no configuration yet.
     pub config: Option<ConfigInForce>,
     /// The seed of the service's random numbers, which is drawn anew for each term.
@@ -78,4 +79,5 @@
 }
 
 /// A function that creates the service at the start of a term.
-pub type ServiceFactory = Box<dyn FnMut(Now, Restored) -> Box<dyn Service + Send> + Send>;
+pub type ServiceFactory =
+    Box<dyn for<'a> FnMut(Now, Restored<'a>) -> Box<dyn Service + Send> + Send>;
--- a/crates/cluster/scheduler/benches/backlog.rs
+++ b/crates/cluster/scheduler/benches/backlog.rs
@@ -4,6 +4,7 @@
 // `criterion_group!` generates a public function without a doc comment.
 #![allow(missing_docs)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::service::{ConfigInForce, Restored, Service};
 use sagetrail_protocol::{Message, NodeId, Time};
-use sagetrail_scheduler::{Scheduler, SchedulerSettings};
+use sagetrail_scheduler::{CoreResources, Scheduler, SchedulerSettings};
 
 const RUNNERS: u32 = 300;
 const BACKLOGS: [u64; 3] = [1_000, 10_000, 40_000];
@@ -80,7 +81,7 @@
         let restored = Restored {
             term: 1,
             node: node(u32::MAX),
-            records: Vec::new(),
+            records: &BTreeMap::new(),
             config: Some(ConfigInForce {
                 version: 1,
                 document: Arc::new(CONFIG.as_bytes().to_vec()),
@@ -89,6 +90,10 @@
         };
         let settings = SchedulerSettings {
             bounds: Bounds::default(),
+            resources: CoreResources {
+                memory_mb: 1024.0,
+                disk_mb: None,
+            },
         };
         let mut backlog = Backlog {
             scheduler: Scheduler::new(settings, now, restored),
--- a/crates/cluster/scheduler/src/commit_queue.rs
+++ b/crates/cluster/scheduler/src/commit_queue.rs
@@ -5,7 +5,7 @@
 use sagetrail_protocol::{Message, NodeId};
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::records::{JobRecord, Key, TaskRecord};
+use crate::records::{JobRecord, Key, OccurrencesRecord, TaskRecord};
 
 /// The address of a receiver and the message for it.
 type Envelope = (NodeId, Message);
@@ -59,6 +59,12 @@
         self.change(key, Some(value))
     }
 
+    /// Puts the record of a job's occurrences that are over into the open batch. Returns the batch's number.
+    pub(crate) fn put_occurrences(&mut self, key: Key, record: &OccurrencesRecord) -> u64 {
+        let value = record.to_bytes().unwrap_or_default();
+        self.change(key, Some(value))
+    }
+
     /// Puts the deletion of a record into the open batch. Returns the batch's number.
     pub(crate) fn delete(&mut self, key: Key) -> u64 {
         self.change(key, None)
--- a/crates/cluster/scheduler/src/due_times.rs
+++ b/crates/cluster/scheduler/src/due_times.rs
@@ -1,4 +1,4 @@
-//! The occurrences of jobs that are not due yet.
+//! The next occurrence of each job that has not started yet.
 
 use std::collections::BTreeSet;
 
@@ -15,25 +15,47 @@
     pub occurrence: u32,
 }
 
-/// The occurrences that are not due yet, soonest first.
+/// The next occurrence of each job that has occurrences left to start.
 #[derive(Default)]
-pub(crate) struct DueTimes(BTreeSet<DueTime>);
+pub(crate) struct DueTimes {
+    /// The occurrences that start when they are due, soonest first.
+    waiting: BTreeSet<DueTime>,
+    /// The occurrences that are due but cannot start yet.
+    delayed: Vec<DueTime>,
+}
 
 impl DueTimes {
     /// Adds an occurrence.
     pub(crate) fn insert(&mut self, due: DueTime) {
-        self.0.insert(due);
+        self.waiting.insert(due);
     }
 
     /// Takes the soonest occurrence if it is due at `wall_ms`, the time of day in milliseconds since 1970.
     pub(crate) fn take_due(&mut self, wall_ms: i64) -> Option<DueTime> {
-        let first = self.0.first().filter(|due| due.at_ms <= wall_ms).copied()?;
-        self.0.remove(&first);
+        let first = self.waiting.first().filter(|due| due.at_ms <= wall_ms);
+        let first = first.copied()?;
+        self.waiting.remove(&first);
         Some(first)
     }
 
-    /// Returns when the soonest occurrence becomes due, in milliseconds since 1970.
+    /// Sets an occurrence that is due aside until `retry_delayed`.
+    pub(crate) fn delay(&mut self, due: DueTime) {
+        self.delayed.push(due);
+    }
+
+    /// Adds the occurrences that were set aside again.
+    pub(crate) fn retry_delayed(&mut self) {
+        self.waiting.extend(self.delayed.drain(..));
+    }
+
+    /// Removes an occurrence.
+    pub(crate) fn remove(&mut self, due: DueTime) {
+        self.waiting.remove(&due);
+        self.delayed.retain(|delayed| *delayed != due);
+    }
+
+    /// Returns when the soonest occurrence that was not set aside becomes due, in milliseconds since 1970.
     pub(crate) fn next_ms(&self) -> Option<i64> {
-        self.0.first().map(|due| due.at_ms)
+        self.waiting.first().map(|due| due.at_ms)
     }
 }
--- a/crates/cluster/scheduler/src/job.rs
+++ b/crates/cluster/scheduler/src/job.rs
@@ -1,12 +1,14 @@
-//! One job: its attributes, its specification, and the state of its steps in each of its occurrences.
+//! One job: its attributes, its specification, and the state of its steps in its occurrences.
 
 use sagetrail_cluster_config::Route;
 use sagetrail_protocol::{Blob, Time};
-use std::collections::BTreeSet;
+use std::ops::Sub;
 use std::sync::Arc;
 
 use crate::ids::{JobId, StepId, TaskId};
-use crate::records::{JobRecord, Outcome, TaskRecord};
+use crate::job_budget::{checkpoint_size, JobParts, JobSize};
+use crate::occurrences::Occurrences;
+use crate::records::{JobRecord, OccurrenceRange, OccurrencesRecord, Outcome, TaskRecord};
 use crate::spec::{JobSpec, Stage};
 use crate::step_run::{StepRun, Task};
 
@@ -40,6 +42,12 @@
     }
 }
 
+impl QueueAttributes {
+    fn name_bytes(&self) -> usize {
+        self.name.len() + self.service.len()
+    }
+}
+
 /// The attributes of a job that are not part of its specification.
 #[derive(Clone, Debug)]
 pub(crate) struct JobAttributes {
@@ -62,12 +70,12 @@
     pub outcome: Outcome,
     /// The specification as submitted; `None` once the job has ended.
     pub spec: Option<Arc<JobSpec>>,
-    /// The body of the submission, byte for byte; empty once the job has ended.
-    body: Vec<u8>,
-    /// The state of the steps, by occurrence and then by step index; empty once the job has ended.
-    pub occurrences: Vec<Vec<StepRun>>,
-    /// The indexes of the occurrences that have become due.
-    pub due_occurrences: BTreeSet<u32>,
+    /// The occurrences and the state of their steps; none once the job has ended.
+    pub occurrences: Occurrences,
+    /// The sizes of the job's parts.
+    parts: JobParts,
+    /// The size of the checkpoints of the job's tasks.
+    checkpoints: JobSize,
     /// The number of tasks that are not done, over all steps and occurrences.
     pub remaining: u64,
     /// True once any of the job's tasks has been assigned to a runner.
@@ -81,34 +89,26 @@
 }
 
 impl Job {
-    /// Creates an active job, either just submitted or restored from a record, with no task done or assigned.
+    /// Creates an active job, either just submitted or restored from a record, with no occurrence in progress.
+    /// `body_bytes` is the length of the submitted body.
     pub(crate) fn new(
         id: JobId,
         attributes: JobAttributes,
         spec: JobSpec,
-        body: Vec<u8>,
+        body_bytes: usize,
         now: Time,
     ) -> Job {
-        let steps = || {
-            spec.stages
-                .iter()
-                .map(|stage| StepRun::new(stage.count))
-                .collect()
-        };
-        let occurrences: Vec<Vec<StepRun>> = (0..spec.occurrences()).map(|_| steps()).collect();
-        let remaining = occurrences
-            .iter()
-            .flatten()
-            .map(|step| u64::from(step.remaining))
-            .sum();
+        let occurrences = Occurrences::new(&spec);
+        let remaining = occurrences.tasks_per_occurrence() * u64::from(occurrences.total());
+        let parts = JobParts::of(&spec, body_bytes, attributes.queue.name_bytes());
         Job {
             id,
             attributes,
             outcome: Outcome::Active,
             spec: Some(Arc::new(spec)),
-            body,
             occurrences,
-            due_occurrences: BTreeSet::new(),
+            parts,
+            checkpoints: JobSize::default(),
             remaining,
             has_started: false,
             batch: 0,
@@ -119,14 +119,15 @@
 
     /// Creates a job that ended in an earlier term; `now` is the time at which this term began.
     pub(crate) fn ended(id: JobId, attributes: JobAttributes, outcome: Outcome, now: Time) -> Job {
+        let parts = JobParts::ended(attributes.queue.name_bytes());
         Job {
             id,
             attributes,
             outcome,
             spec: None,
-            body: Vec::new(),
-            occurrences: Vec::new(),
-            due_occurrences: BTreeSet::new(),
+            occurrences: Occurrences::none(),
+            parts,
+            checkpoints: JobSize::default(),
             remaining: 0,
             has_started: true,
             batch: 0,
@@ -135,8 +136,8 @@
         }
     }
 
-    /// Returns the job's record in its stored form.
-    pub(crate) fn record(&self) -> JobRecord {
+    /// Returns the job's record in its stored form. `body` is the body as submitted, or empty once the job has ended.
+    pub(crate) fn record(&self, body: Vec<u8>) -> JobRecord {
         let JobAttributes {
             queue,
             order,
@@ -150,7 +151,7 @@
             priority: queue.priority,
             order: *order,
             accepted_ms: *accepted_ms,
-            body: Blob(self.body.clone()),
+            body: Blob(body),
         }
     }
 
@@ -159,11 +160,27 @@
         self.outcome = outcome;
         self.ended_at = Some(now);
         self.spec = None;
-        self.body = Vec::new();
-        self.occurrences = Vec::new();
+        self.occurrences = Occurrences::none();
+        self.parts = JobParts::ended(self.attributes.queue.name_bytes());
+        self.checkpoints = JobSize::default();
         self.remaining = 0;
     }
 
+    /// Returns what the job takes.
+    pub(crate) fn size(&self) -> JobSize {
+        let in_progress = self.occurrences.in_progress_count();
+        self.parts.with_occurrences(in_progress) + self.checkpoints
+    }
+
+    /// Returns by how much the job would grow if the occurrence started.
+    pub(crate) fn growth_at_start(&self, occurrence: u32) -> JobSize {
+        if self.occurrences.steps(occurrence).is_some() {
+            return JobSize::default();
+        }
+        let in_progress = self.occurrences.in_progress_count();
+        self.parts.with_occurrences(in_progress + 1) - self.parts.with_occurrences(in_progress)
+    }
+
     /// Returns the job's priority; 0 is the most urgent.
     pub(crate) fn priority(&self) -> u32 {
         self.attributes.queue.priority
@@ -176,15 +193,13 @@
 
     /// Returns a step's state.
     pub(crate) fn step(&self, id: StepId) -> Option<&StepRun> {
-        self.occurrences
-            .get(id.occurrence as usize)?
-            .get(id.step as usize)
+        self.occurrences.steps(id.occurrence)?.get(id.step as usize)
     }
 
     /// Returns a step's state for modification.
     pub(crate) fn step_mut(&mut self, id: StepId) -> Option<&mut StepRun> {
         self.occurrences
-            .get_mut(id.occurrence as usize)?
+            .steps_mut(id.occurrence)?
             .get_mut(id.step as usize)
     }
 
@@ -193,12 +208,9 @@
         self.step_mut(id.step)?.tasks.get_mut(id.index as usize)
     }
 
-    /// Returns the IDs of all steps of one occurrence.
+    /// Returns the IDs of all steps of one occurrence in progress.
     pub(crate) fn steps_of(&self, occurrence: u32) -> Vec<StepId> {
-        let count = self
-            .occurrences
-            .get(occurrence as usize)
-            .map_or(0, Vec::len);
+        let count = self.occurrences.steps(occurrence).map_or(0, Vec::len);
         (0..count as u32)
             .map(|step| StepId {
                 job: self.id,
@@ -220,13 +232,58 @@
         stage.depends_on.iter().all(ended)
     }
 
-    /// Returns the IDs of all steps of all occurrences.
+    /// Returns the IDs of all steps of all occurrences in progress.
     pub(crate) fn all_steps(&self) -> Vec<StepId> {
-        (0..self.occurrences.len() as u32)
+        let in_progress = self.occurrences.in_progress_indexes().into_iter();
+        in_progress
             .flat_map(|occurrence| self.steps_of(occurrence))
             .collect()
     }
 
+    /// Returns true if the occurrence has state that is not needed any more, because all its tasks are done and none of
+    /// them has a run that may be active.
+    pub(crate) fn has_finished(&self, occurrence: u32) -> bool {
+        let is_finished = |step: &StepRun| {
+            step.has_ended() && step.tasks.iter().all(|task| task.runner.is_none())
+        };
+        let steps = self.occurrences.steps(occurrence);
+        steps.is_some_and(|steps| steps.iter().all(is_finished))
+    }
+
+    /// Drops the state of an occurrence that has finished.
+    pub(crate) fn end_occurrence(&mut self, occurrence: u32) {
+        let steps = self.occurrences.steps(occurrence).into_iter().flatten();
+        let tasks = steps.flat_map(|step| &step.tasks);
+        let checkpoints = tasks.map(|task| checkpoint_size(&task.checkpoint));
+        self.checkpoints = checkpoints.fold(self.checkpoints, JobSize::sub);
+        self.occurrences.end(occurrence);
+    }
+
+    /// Returns the record of the occurrences that are over in its stored form.
+    pub(crate) fn occurrences_record(&self) -> OccurrencesRecord {
+        OccurrencesRecord {
+            over: self.occurrences.over_ranges(),
+        }
+    }
+
+    /// Restores the occurrences that are over. Must be called before any occurrence is in progress.
+    pub(crate) fn restore_occurrences(&mut self, over: &[OccurrenceRange]) {
+        self.occurrences.restore_over(over);
+        let tasks = self.occurrences.over_count() * self.occurrences.tasks_per_occurrence();
+        self.remaining = self.remaining.saturating_sub(tasks);
+        self.has_started |= tasks > 0;
+    }
+
+    /// Replaces the checkpoint of a task.
+    pub(crate) fn set_checkpoint(&mut self, id: TaskId, checkpoint: String) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        let former = std::mem::replace(&mut task.checkpoint, checkpoint);
+        let size = checkpoint_size(&task.checkpoint);
+        self.checkpoints = self.checkpoints + size - checkpoint_size(&former);
+    }
+
     /// Returns true if a step's tasks may start: at least one task waits (in a gang, all of them), the occurrence is
     /// due, and the steps that it depends on have ended.
     pub(crate) fn is_ready(&self, id: StepId) -> bool {
@@ -236,7 +293,7 @@
         !step.waiting.is_empty()
             && (!stage.gang || step.is_complete_gang_waiting())
             && self.dependencies_met(id)
-            && self.due_occurrences.contains(&id.occurrence)
+            && self.occurrences.is_due(id.occurrence)
     }
 
     /// Marks a task done. Returns false if the task was already done or does not exist.
@@ -257,12 +314,14 @@
         true
     }
 
-    /// Restores a task's state from its record.
+    /// Restores a task's state from its record, and brings its occurrence into progress.
     pub(crate) fn restore_task(&mut self, id: TaskId, record: &TaskRecord) {
+        self.occurrences.begin(id.step.occurrence);
         if record.done != 0 {
             self.mark_done(id);
         }
         self.has_started = true;
+        self.set_checkpoint(id, record.checkpoint.0.clone());
         let Some(step) = self.step_mut(id.step) else {
             return;
         };
@@ -271,7 +330,6 @@
         };
         task.attempt = record.attempt;
         task.failures = record.failures;
-        task.checkpoint = record.checkpoint.0.clone();
         step.gang_failures += record.failures;
         task.failed_attempt = record.failed_attempt;
         step.failed_attempt = step.failed_attempt.max(record.failed_attempt);
--- a/crates/cluster/scheduler/src/job_table.rs
+++ b/crates/cluster/scheduler/src/job_table.rs
@@ -5,12 +5,13 @@
 
 use crate::ids::{JobId, StepId, TaskId};
 use crate::job::Job;
-use crate::records::Outcome;
+use crate::job_budget::{checkpoint_size, JobBudget, JobSize};
+use crate::records::{Outcome, TaskRecord};
 use crate::spec::Stage;
 use crate::step_run::{StepRun, Task};
 
-/// The jobs by ID. Invariant: `active` holds the IDs of exactly those jobs whose outcome is `Active`, except between
-/// the end of a job and the call of `set_ended`.
+/// The jobs by ID. Invariants: `active` holds the IDs of exactly those jobs whose outcome is `Active`, and
+/// `size` is the sum over all jobs. Whatever changes the size of a job is therefore a method of the table.
 #[derive(Debug)]
 pub(crate) struct JobTable {
     /// All jobs, including ended ones.
@@ -19,38 +20,109 @@
     active: BTreeSet<JobId>,
     /// The order number of the next accepted job; the first one is 1.
     next_order: u64,
+    /// The limits of `size`.
+    budget: JobBudget,
+    /// What all jobs take.
+    size: JobSize,
 }
 
-impl Default for JobTable {
-    fn default() -> JobTable {
+impl JobTable {
+    /// Creates a table without jobs.
+    pub(crate) fn new(budget: JobBudget) -> JobTable {
         JobTable {
             jobs: BTreeMap::new(),
             active: BTreeSet::new(),
             next_order: 1,
+            budget,
+            size: JobSize::default(),
         }
     }
-}
 
-impl JobTable {
+    /// Returns what all jobs take.
+    pub(crate) fn size(&self) -> JobSize {
+        self.size
+    }
+
+    /// Returns true if the budget allows to accept a job.
+    pub(crate) fn can_accept(&self, job: &Job) -> bool {
+        (self.size + job.size()).fits(self.budget.accept)
+    }
+
+    /// Returns true if the budget allows an occurrence of a job to come into progress, or the job does not grow by it.
+    pub(crate) fn can_start_occurrence(&self, id: JobId, occurrence: u32) -> bool {
+        let growth = self.get(id).map(|job| job.growth_at_start(occurrence));
+        let growth = growth.unwrap_or_default();
+        growth == JobSize::default() || (self.size + growth).fits(self.budget.total)
+    }
+
     /// Adds a job, whether it has ended or not.
     pub(crate) fn insert(&mut self, job: Job) {
         if job.outcome == Outcome::Active {
             self.active.insert(job.id);
         }
+        self.size = self.size + job.size();
         self.jobs.insert(job.id, job);
     }
 
     /// Removes a job.
     pub(crate) fn remove(&mut self, id: JobId) {
         self.active.remove(&id);
-        self.jobs.remove(&id);
+        if let Some(job) = self.jobs.remove(&id) {
+            self.size = self.size - job.size();
+        }
     }
 
-    /// Removes a job that has ended from the active jobs; the job itself stays in the table.
-    pub(crate) fn set_ended(&mut self, id: JobId) {
+    /// Ends a job, which stays in the table.
+    pub(crate) fn end(&mut self, id: JobId, outcome: Outcome, now: Time) {
+        self.resize(id, |job| job.end(outcome, now));
         self.active.remove(&id);
     }
 
+    /// Makes an occurrence of a job due and brings it into progress.
+    pub(crate) fn start_occurrence(&mut self, id: JobId, occurrence: u32) {
+        self.resize(id, |job| {
+            job.occurrences.set_due(occurrence);
+            job.occurrences.begin(occurrence);
+        });
+    }
+
+    /// Drops the state of an occurrence that has finished.
+    pub(crate) fn end_occurrence(&mut self, id: JobId, occurrence: u32) {
+        self.resize(id, |job| job.end_occurrence(occurrence));
+    }
+
+    /// Restores a task's state from its record.
+    pub(crate) fn restore_task(&mut self, id: TaskId, record: &TaskRecord) {
+        self.resize(id.step.job, |job| job.restore_task(id, record));
+    }
+
+    /// Replaces the checkpoint of a task. Returns false and keeps the former one if the budget does not allow a longer
+    /// one.
+    pub(crate) fn set_checkpoint(&mut self, id: TaskId, checkpoint: &str) -> bool {
+        let Some(task) = self.task_mut(id) else {
+            return false;
+        };
+        let former = checkpoint_size(&task.checkpoint);
+        let size = checkpoint_size(checkpoint);
+        let is_kept = size.fits(former) || (self.size + size - former).fits(self.budget.total);
+        if is_kept {
+            self.resize(id.step.job, |job| {
+                job.set_checkpoint(id, checkpoint.to_owned());
+            });
+        }
+        is_kept
+    }
+
+    /// Changes a job in a way that may change its size.
+    fn resize(&mut self, id: JobId, change: impl FnOnce(&mut Job)) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let former_size = job.size();
+        change(job);
+        self.size = self.size + job.size() - former_size;
+    }
+
     /// Returns a job.
     pub(crate) fn get(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
--- a/crates/cluster/scheduler/src/lib.rs
+++ b/crates/cluster/scheduler/src/lib.rs
@@ -45,7 +45,8 @@
 //! | question | module |
 //! |---|---|
 //! | Is a submitted job valid? | `spec` |
-//! | Which steps may start? | `job`, `scheduler/job_lifecycle` |
+//! | Is there memory and disk for it? | `job_budget`, `job_table` |
+//! | Which steps may start? | `job`, `occurrences`, `scheduler/job_lifecycle` |
 //! | In which order are steps placed? | `objective`, `pending_queue` |
 //! | Which runner gets which task? | `placement` |
 //! | How much capacity is kept free for urgent work? | `reserved_capacity`, `scheduler/urgent_demand` |
@@ -66,9 +67,11 @@
 mod error;
 mod ids;
 mod job;
+mod job_budget;
 mod job_table;
 mod limits;
 mod objective;
+mod occurrences;
 mod outlier_ejection;
 mod pass_pacing;
 mod pending_queue;
@@ -88,6 +91,7 @@
 
 pub use error::SchedulerError;
 pub use ids::{JobId, StepId, TaskId};
+pub use job_budget::CoreResources;
 pub use limits::{MAX_SPEC_BYTES, MAX_STAGES, MAX_TASKS};
 pub use placement::{AvailableRunner, Pass, PendingStep, Placement, P_MIN};
 pub use reservation::{Reservation, ReservationKind};
--- a/crates/cluster/scheduler/src/records.rs
+++ b/crates/cluster/scheduler/src/records.rs
@@ -5,7 +5,7 @@
 
 use deku::prelude::*;
 use sagetrail_protocol::agent::Resources;
-use sagetrail_protocol::{Blob, NodeId, Text};
+use sagetrail_protocol::{Blob, List, NodeId, Text};
 
 use crate::error::SchedulerError;
 use crate::ids::{JobId, StepId, TaskId};
@@ -79,26 +79,47 @@
     pub assignment: AssignmentRecord,
 }
 
+/// A range of occurrences of a job.
+#[derive(DekuRead, DekuWrite, Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct OccurrenceRange {
+    /// The index of the first occurrence.
+    pub first: u32,
+    /// The index after the last occurrence.
+    pub end: u32,
+}
+
+/// The stored record of the occurrences of a job that are over. It replaces the records of their tasks.
+#[derive(DekuRead, DekuWrite, Clone, PartialEq, Eq, Debug)]
+pub(crate) struct OccurrencesRecord {
+    /// The occurrences that are over, in ascending order.
+    pub over: List<OccurrenceRange>,
+}
+
 /// The key of a record.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Key {
     /// The key of a job's record.
     Job(JobId),
+    /// The key of the record of a job's occurrences that are over.
+    Occurrences(JobId),
     /// The key of a task's record.
     Task(TaskId),
 }
 
 /// The first byte of a job's key.
 const JOB_KEY: u8 = b'j';
+/// The first byte of the key of a job's occurrences that are over.
+const OCCURRENCES_KEY: u8 = b'o';
 /// The first byte of a task's key.
 const TASK_KEY: u8 = b't';
 
 impl Key {
     /// Returns the key's bytes: the kind, then job, occurrence, step and index. Numbers are big-endian, so keys sort in
-    /// this order, and all jobs sort before all tasks.
+    /// this order: first all jobs, then all their occurrences that are over, then all tasks.
     pub(crate) fn to_bytes(self) -> Vec<u8> {
         match self {
             Key::Job(id) => [&[JOB_KEY][..], &id.0.to_be_bytes()].concat(),
+            Key::Occurrences(id) => [&[OCCURRENCES_KEY][..], &id.0.to_be_bytes()].concat(),
             Key::Task(TaskId {
                 step:
                     StepId {
@@ -134,6 +155,9 @@
         if kind == JOB_KEY && rest.is_empty() {
             return Some(Key::Job(job));
         }
+        if kind == OCCURRENCES_KEY && rest.is_empty() {
+            return Some(Key::Occurrences(job));
+        }
         let (occurrence, rest) = rest.split_first_chunk::<4>()?;
         let (step, rest) = rest.split_first_chunk::<4>()?;
         let (index, rest) = rest.split_first_chunk::<4>()?;
--- a/crates/cluster/scheduler/src/scheduler.rs
+++ b/crates/cluster/scheduler/src/scheduler.rs
@@ -33,6 +33,7 @@
 
 use crate::commit_queue::CommitQueue;
 use crate::due_times::DueTimes;
+use crate::job_budget::{CoreResources, JobBudget};
 use crate::job_table::JobTable;
 use crate::outlier_ejection::FailureRates;
 use crate::pass_pacing::PassPacing;
@@ -55,6 +56,8 @@
 pub struct SchedulerSettings {
     /// Time limits and other bounds that clients, runners and the cluster agree on.
     pub bounds: Bounds,
+    /// The resources of the machine of each core process.
+    pub resources: CoreResources,
 }
 
 /// Schedules all jobs on all runners during one term.
@@ -74,7 +77,7 @@
     runners: RunnerTable,
     /// Steps with tasks that wait for a runner.
     pending: PendingQueue,
-    /// Occurrences of repeated jobs that are not due yet.
+    /// The next occurrence of each job that has occurrences left to start.
     due_times: DueTimes,
     /// Record changes on their way to a quorum, and messages that wait until these are committed.
     commits: CommitQueue,
@@ -85,12 +88,14 @@
     /// Whether free capacity or pending steps have changed since the last placement pass.
     placement_due: bool,
     pass_pacing: PassPacing,
+    /// The number of jobs that the budget did not allow to accept since this was last logged.
+    rejected_by_budget: u64,
     timers: Timers,
 }
 
 impl Scheduler {
     /// Creates the scheduler of a new term from the records of earlier terms.
-    pub fn new(settings: SchedulerSettings, now: Now, restored: Restored) -> Scheduler {
+    pub fn new(settings: SchedulerSettings, now: Now, restored: Restored<'_>) -> Scheduler {
         let mut scheduler = Scheduler {
             settings,
             term: restored.term,
@@ -99,7 +104,7 @@
             time_of_day: TimeOfDay::new(now),
             wall_ms: now.wall_ms,
             config: None,
-            jobs: JobTable::default(),
+            jobs: JobTable::new(JobBudget::new(settings.resources)),
             runners: RunnerTable::default(),
             pending: PendingQueue::default(),
             due_times: DueTimes::default(),
@@ -109,13 +114,14 @@
             failure_rates: FailureRates::default(),
             placement_due: true,
             pass_pacing: PassPacing::default(),
+            rejected_by_budget: 0,
             timers: Timers::new(now.steady),
         };
-        scheduler.restore_records(now, &restored.records);
+        scheduler.restore_records(now, restored.records);
         if let Some(config) = restored.config {
             scheduler.adopt_config(&config);
         }
-        scheduler.enqueue_all_jobs(now);
+        scheduler.schedule_all_jobs(now);
         scheduler.announce_term();
         scheduler
     }
@@ -144,6 +150,7 @@
             self.preempt_for_pending_steps(now, &service);
         }
         self.purge_ended_jobs(now);
+        self.due_times.retry_delayed();
         self.log_long_waits(now);
         self.log_status(now);
         self.placement_due = true;
--- a/crates/cluster/scheduler/src/scheduler/client_requests.rs
+++ b/crates/cluster/scheduler/src/scheduler/client_requests.rs
@@ -11,8 +11,7 @@
 use crate::records::Outcome;
 use crate::spec::JobSpec;
 
-/// The maximum number of jobs, including ended ones. With this limit their records take less than a quarter of the
-/// memory of a core machine.
+/// The maximum number of jobs, including ended ones.
 const MAX_JOBS: usize = 40_000;
 /// The delay after which a client may retry a request that was rejected with 429 or 503, in milliseconds.
 const RETRY_AFTER_MS: u32 = 1_000;
@@ -144,10 +143,14 @@
             order: self.jobs.take_order(),
             accepted_ms: self.time_of_day.millis(now),
         };
-        self.jobs
-            .insert(Job::new(job_id, attributes, spec, body.0, now.steady));
-        self.write_job(job_id);
-        self.enqueue_job(now, job_id);
+        let job = Job::new(job_id, attributes, spec, body.0.len(), now.steady);
+        if !self.jobs.can_accept(&job) {
+            self.rejected_by_budget += 1;
+            return Answer::retry_later(429);
+        }
+        self.jobs.insert(job);
+        self.write_job(job_id, body.0);
+        self.schedule_next_occurrence(job_id);
         Answer::with_status(200).after_commit(self.outcome_batch(job_id))
     }
 
--- a/crates/cluster/scheduler/src/scheduler/diagnostics.rs
+++ b/crates/cluster/scheduler/src/scheduler/diagnostics.rs
@@ -31,11 +31,13 @@
         }
     }
 
-    /// Logs, for each service whose first pending step has waited for `LONG_WAIT_MS`, that step and all runners.
+    /// Logs how many jobs were rejected for lack of memory or disk and, for each service whose first pending step has
+    /// waited for `LONG_WAIT_MS`, that step and all runners.
     pub(super) fn log_long_waits(&mut self, now: Now) {
         if !self.timers.take_long_wait_log(now.steady) {
             return;
         }
+        self.log_rejected_by_budget();
         for service in self.pending.services() {
             let Some(key) = self.pending.first(&service) else {
                 continue;
@@ -58,6 +60,18 @@
         }
     }
 
+    fn log_rejected_by_budget(&mut self) {
+        let rejected = std::mem::take(&mut self.rejected_by_budget);
+        if rejected > 0 {
+            log::warn!(
+                "jobs rejected for lack of memory or disk: term={} rejected={rejected} jobs={} size={:?}",
+                self.term,
+                self.jobs.len(),
+                self.jobs.size()
+            );
+        }
+    }
+
     /// Counts the waiting tasks of these steps that have the given priority.
     fn count_waiting_tasks(&self, pending: &[PendingKey], priority: u32) -> usize {
         let of_priority = pending.iter().filter(|key| key.priority == priority);
--- a/crates/cluster/scheduler/src/scheduler/job_lifecycle.rs
+++ b/crates/cluster/scheduler/src/scheduler/job_lifecycle.rs
@@ -3,6 +3,7 @@
 
 use sagetrail_protocol::node::Now;
 
+use super::record_writes::StepTasks;
 use super::Scheduler;
 use crate::demand_class::DemandClass;
 use crate::due_times::DueTime;
@@ -48,42 +49,31 @@
 }
 
 impl Scheduler {
-    /// Enqueues the ready steps of all active jobs; called at the start of a term.
-    pub(super) fn enqueue_all_jobs(&mut self, now: Now) {
+    /// Schedules the occurrences of all active jobs and starts those that are due; called at the start of a term.
+    pub(super) fn schedule_all_jobs(&mut self, now: Now) {
         for job_id in self.jobs.active_ids() {
-            self.enqueue_job(now, job_id);
+            self.schedule_next_occurrence(job_id);
         }
+        self.start_due_occurrences(now);
     }
 
-    /// Enqueues the ready steps of a job. Occurrences that are not due yet are added to the due times instead.
-    pub(super) fn enqueue_job(&mut self, now: Now, job_id: JobId) {
-        let wall_ms = self.time_of_day.millis(now);
-        let Some(job) = self.jobs.get(job_id) else {
-            return;
-        };
-        let Some(spec) = job.spec.clone() else {
-            return;
-        };
-        for occurrence in 0..job.occurrences.len() as u32 {
-            match spec.due_ms(occurrence) {
-                Some(at_ms) if at_ms > wall_ms => self.due_times.insert(DueTime {
-                    at_ms,
-                    job: job_id,
-                    occurrence,
-                }),
-                _ => self.start_occurrence(job_id, occurrence),
-            }
+    /// Schedules the first occurrence of a job that has not become due; later ones follow it. Those that are due start at
+    /// the end of the event.
+    pub(super) fn schedule_next_occurrence(&mut self, job_id: JobId) {
+        if let Some(due) = self.next_due_time(job_id) {
+            self.due_times.insert(due);
         }
     }
 
-    fn start_occurrence(&mut self, job_id: JobId, occurrence: u32) {
-        let Some(job) = self.jobs.get_mut(job_id) else {
-            return;
-        };
-        job.due_occurrences.insert(occurrence);
-        for step in job.steps_of(occurrence) {
-            self.refresh_step(step);
-        }
+    /// Returns the first occurrence of a job that has not become due. The one of a job without times is due at once.
+    fn next_due_time(&self, job_id: JobId) -> Option<DueTime> {
+        let job = self.jobs.get_active(job_id)?;
+        let occurrence = job.occurrences.next()?;
+        Some(DueTime {
+            at_ms: job.spec.as_ref()?.due_ms(occurrence).unwrap_or(i64::MIN),
+            job: job_id,
+            occurrence,
+        })
     }
 
     /// Starts the occurrences that have become due, and sets the timer for the next one.
@@ -91,13 +81,53 @@
         let wall_ms = self.time_of_day.millis(now);
         self.wall_ms = wall_ms;
         while let Some(due) = self.due_times.take_due(wall_ms) {
-            self.start_occurrence(due.job, due.occurrence);
+            self.start_occurrence(due);
         }
         let next_ms = self.due_times.next_ms();
         let wait_ms = next_ms.map(|at_ms| (at_ms - wall_ms).max(1) as u64);
         self.timers.next_due = wait_ms.map(|wait_ms| now.steady.plus_millis(wait_ms));
     }
 
+    /// Starts an occurrence that is due. It waits if the budget does not allow it, which can only be if an earlier one of
+    /// its job is in progress.
+    fn start_occurrence(&mut self, due: DueTime) {
+        if !self.jobs.can_start_occurrence(due.job, due.occurrence) {
+            self.due_times.delay(due);
+            return;
+        }
+        self.jobs.start_occurrence(due.job, due.occurrence);
+        let job = self.jobs.get(due.job);
+        let steps = job.map_or_else(Vec::new, |job| job.steps_of(due.occurrence));
+        for step in steps {
+            self.refresh_step(step);
+        }
+        self.schedule_next_occurrence(due.job);
+    }
+
+    /// Drops the state and the task records of an occurrence if it has finished. The end of the last occurrence ends its
+    /// job instead.
+    pub(super) fn end_finished_occurrence(&mut self, step: StepId) {
+        let StepId {
+            job: job_id,
+            occurrence,
+            ..
+        } = step;
+        let Some(job) = self.jobs.get_active(job_id) else {
+            return;
+        };
+        if !job.has_finished(occurrence) {
+            return;
+        }
+        let step_ids = job.steps_of(occurrence);
+        let tasks = step_ids.iter().filter_map(|&step| {
+            let count = job.step(step)?.tasks.len() as u32;
+            Some(StepTasks { step, count })
+        });
+        let tasks: Vec<StepTasks> = tasks.collect();
+        self.jobs.end_occurrence(job_id, occurrence);
+        self.write_occurrence_end(job_id, &tasks);
+    }
+
     /// Inserts a step into the backlog, moves it within the backlog or removes it, according to its state and
     /// objective.
     pub(super) fn refresh_step(&mut self, step_id: StepId) {
@@ -127,13 +157,18 @@
     /// Ends a job, unless it has ended already. Its tasks no longer start, and its runs are stopped. Only the active
     /// runs of a completed job are left to end by themselves.
     pub(super) fn end_job(&mut self, now: Now, job_id: JobId, outcome: Outcome) {
-        let Some(job) = self.jobs.get_active_mut(job_id) else {
+        let Some(job) = self.jobs.get_active(job_id) else {
             return;
         };
         let steps = job.all_steps();
         let cleanup = EndCleanup::collect(job, &steps);
-        job.end(outcome, now.steady);
-        self.jobs.set_ended(job_id);
+        if job.occurrences.over_count() > 0 {
+            self.commits.delete(Key::Occurrences(job_id));
+        }
+        if let Some(due) = self.next_due_time(job_id) {
+            self.due_times.remove(due);
+        }
+        self.jobs.end(job_id, outcome, now.steady);
         for step in steps {
             self.pending.remove(step);
         }
@@ -147,7 +182,7 @@
                 self.runners.stop(run);
             }
         }
-        self.write_job(job_id);
+        self.write_job(job_id, Vec::new());
     }
 
     /// Removes ended jobs whose retention is over, together with their records.
--- a/crates/cluster/scheduler/src/scheduler/restore.rs
+++ b/crates/cluster/scheduler/src/scheduler/restore.rs
@@ -2,21 +2,29 @@
 
 use deku::DekuContainerRead;
 use sagetrail_protocol::node::Now;
+use std::collections::BTreeMap;
 
 use super::Scheduler;
 use crate::error::SchedulerError;
-use crate::ids::{JobId, TaskId};
+use crate::ids::{JobId, StepId, TaskId};
 use crate::job::{Job, JobAttributes, QueueAttributes};
 use crate::objective::{DEFAULT_EXTENSION, DEFAULT_TARGET_MS};
-use crate::records::{JobRecord, Key, Outcome, TaskRecord};
+use crate::records::{JobRecord, Key, OccurrencesRecord, Outcome, TaskRecord};
 use crate::runner::Assignment;
 use crate::spec::JobSpec;
 
 impl Scheduler {
-    /// Restores all records. Relies on their order: the records of jobs sort before those of tasks. A record that
-    /// cannot be restored is logged and skipped.
-    pub(super) fn restore_records(&mut self, now: Now, records: &[(Vec<u8>, Vec<u8>)]) {
+    /// Restores all records. Relies on their order: the records of jobs sort before those of their occurrences that are
+    /// over, and these before those of tasks, which sort by occurrence. A record that cannot be restored is logged and
+    /// skipped.
+    pub(super) fn restore_records(&mut self, now: Now, records: &BTreeMap<Vec<u8>, Vec<u8>>) {
+        let mut restored_step: Option<StepId> = None;
         for (key, value) in records {
+            let step = step_of(key);
+            if !is_same_occurrence(restored_step, step) {
+                self.end_restored_occurrence(restored_step);
+            }
+            restored_step = step;
             if let Err(error) = self.restore_record(now, key, value) {
                 log::error!(
                     "skipping stored record that cannot be restored: term={} key={key:02x?} error={error}",
@@ -24,11 +32,21 @@
                 );
             }
         }
+        self.end_restored_occurrence(restored_step);
+    }
+
+    /// Ends an occurrence all of whose tasks have been restored, if it has finished. Earlier versions left the records
+    /// of the tasks of each occurrence, which together take more memory than there is.
+    fn end_restored_occurrence(&mut self, step: Option<StepId>) {
+        if let Some(step) = step {
+            self.end_finished_occurrence(step);
+        }
     }
 
     fn restore_record(&mut self, now: Now, key: &[u8], value: &[u8]) -> Result<(), SchedulerError> {
         match Key::parse(key)? {
             Key::Job(job_id) => self.restore_job(now, job_id, value),
+            Key::Occurrences(job_id) => self.restore_occurrences(job_id, value),
             Key::Task(task_id) => self.restore_task(now, task_id, value),
         }
     }
@@ -50,7 +68,7 @@
         self.jobs.observe_order(record.order);
         let job = if record.outcome == Outcome::Active {
             let spec = JobSpec::parse(&record.body)?;
-            Job::new(job_id, attributes, spec, record.body.0, now.steady)
+            Job::new(job_id, attributes, spec, record.body.len(), now.steady)
         } else {
             Job::ended(job_id, attributes, record.outcome, now.steady)
         };
@@ -58,6 +76,17 @@
         Ok(())
     }
 
+    fn restore_occurrences(&mut self, job_id: JobId, value: &[u8]) -> Result<(), SchedulerError> {
+        let (_, record) = OccurrencesRecord::from_bytes((value, 0))?;
+        match self.jobs.get_active_mut(job_id) {
+            Some(job) => job.restore_occurrences(&record.over),
+            None => {
+                self.commits.delete(Key::Occurrences(job_id));
+            }
+        }
+        Ok(())
+    }
+
     fn restore_task(
         &mut self,
         now: Now,
@@ -66,8 +95,8 @@
     ) -> Result<(), SchedulerError> {
         let (_, record) = TaskRecord::from_bytes((value, 0))?;
         let mut is_run_wanted = false;
-        if let Some(job) = self.jobs.get_active_mut(task_id.step.job) {
-            job.restore_task(task_id, &record);
+        if self.jobs.is_active(task_id.step.job) {
+            self.jobs.restore_task(task_id, &record);
             is_run_wanted = record.done == 0;
         }
         if record.assigned != 0 {
@@ -96,3 +125,16 @@
         runner.assigned.insert(task_id, assignment);
     }
 }
+
+/// Returns the step to which a task's record belongs; `None` for other records.
+fn step_of(key: &[u8]) -> Option<StepId> {
+    match Key::parse(key) {
+        Ok(Key::Task(task)) => Some(task.step),
+        _ => None,
+    }
+}
+
+fn is_same_occurrence(one: Option<StepId>, other: Option<StepId>) -> bool {
+    let occurrence = |step: StepId| (step.job, step.occurrence);
+    one.map(occurrence) == other.map(occurrence)
+}
--- a/crates/cluster/scheduler/src/scheduler/run_outcome.rs
+++ b/crates/cluster/scheduler/src/scheduler/run_outcome.rs
@@ -50,8 +50,15 @@
 }
 
 impl Scheduler {
-    /// Removes a run's assignment from its runner and updates its task: done, failed or waiting for another run.
+    /// Removes a run's assignment from its runner and updates its task: done, failed or waiting for another run. Ends the
+    /// occurrence if this was its last run.
     pub(super) fn end_run(&mut self, now: Now, ended: EndedRun) {
+        let step = ended.run.task.step;
+        self.update_ended_task(now, ended);
+        self.end_finished_occurrence(step);
+    }
+
+    fn update_ended_task(&mut self, now: Now, ended: EndedRun) {
         let AssignedRun {
             node,
             task: task_id,
@@ -73,13 +80,13 @@
             return;
         };
         task.runner = None;
-        if !ended.checkpoint.is_empty() {
-            task.checkpoint = ended.checkpoint;
-        }
         let is_first_failure = task.failures == 0;
         let long_running = job
             .stage(task_id.step)
             .is_some_and(|stage| stage.long_running);
+        if !ended.checkpoint.is_empty() {
+            self.jobs.set_checkpoint(task_id, &ended.checkpoint);
+        }
         match ended.end {
             RunEnd::Done => {
                 self.record_success(node);
@@ -207,7 +214,10 @@
             failures = step.gang_failures;
         }
         task.failures += 1;
-        task.failed_at.push(node);
+        // A long-running task may fail without end.
+        if !long_running || !task.failed_at.contains(&node) {
+            task.failed_at.push(node);
+        }
         if long_running || failures < max_attempts {
             FailureVerdict::Retry
         } else {
--- a/crates/cluster/scheduler/src/scheduler/runner_reports.rs
+++ b/crates/cluster/scheduler/src/scheduler/runner_reports.rs
@@ -154,8 +154,8 @@
             let Some(task) = self.jobs.task_mut(task_id) else {
                 continue;
             };
-            if task.attempt == run.attempt && task.checkpoint != run.checkpoint.0 {
-                task.checkpoint = run.checkpoint.0.clone();
+            let is_new = task.attempt == run.attempt && task.checkpoint != run.checkpoint.0;
+            if is_new && self.jobs.set_checkpoint(task_id, &run.checkpoint) {
                 updated.push(task_id);
             }
         }
--- a/crates/cluster/scheduler/src/spec.rs
+++ b/crates/cluster/scheduler/src/spec.rs
@@ -8,6 +8,9 @@
 use crate::error::SchedulerError;
 use crate::limits::{MAX_SPEC_BYTES, MAX_STAGES, MAX_TASKS, MAX_TIME_MS};
 
+/// The memory that the allocator needs for a text in addition to its length, in bytes.
+const TEXT_OVERHEAD_BYTES: usize = 16;
+
 /// One step of a job: a number of tasks that are alike. Missing fields are zero, empty or false.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Stage {
@@ -56,6 +59,14 @@
 }
 
 impl Stage {
+    /// Returns the memory that the step's specification takes, in bytes.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        size_of::<Stage>()
+            + self.depends_on.capacity() * size_of::<u32>()
+            + self.constraints.heap_bytes()
+            + self.affinity.capacity()
+    }
+
     /// Returns the resources that one task needs.
     pub fn resources(&self) -> Resources {
         Resources {
@@ -83,6 +94,19 @@
 }
 
 impl Labels {
+    /// Returns the memory that the labels take in addition to `Labels` itself, in bytes.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        match self {
+            Labels::One(label) => label.capacity(),
+            Labels::Several(labels) => {
+                let texts = labels
+                    .iter()
+                    .map(|label| label.capacity() + TEXT_OVERHEAD_BYTES);
+                texts.sum::<usize>() + labels.capacity() * size_of::<String>()
+            }
+        }
+    }
+
     /// Returns true if `labels` contains all labels of this set.
     pub fn all_in(&self, labels: &[String]) -> bool {
         let has = |wanted: &String| wanted.is_empty() || labels.contains(wanted);
--- a/crates/cluster/scheduler/tests/client_answers.rs
+++ b/crates/cluster/scheduler/tests/client_answers.rs
@@ -240,7 +240,7 @@
 
 fn add_request_without_configuration(transcript: &mut Transcript) {
     let mut cluster = TestCluster::new(0);
-    cluster.scheduler = start_scheduler(cluster.now, 2, 7, StoredState::default());
+    cluster.scheduler = start_scheduler(cluster.now, 2, 7, &StoredState::default());
     add_answer(
         transcript,
         &mut cluster,
--- a/crates/cluster/scheduler/tests/test_cluster/mod.rs
+++ b/crates/cluster/scheduler/tests/test_cluster/mod.rs
@@ -13,7 +13,7 @@
 use sagetrail_protocol::node::Now;
 use sagetrail_protocol::service::{ConfigInForce, RecordOperation, Restored, Service};
 use sagetrail_protocol::{Message, NodeId, Term, Time};
-use sagetrail_scheduler::{Scheduler, SchedulerSettings};
+use sagetrail_scheduler::{CoreResources, Scheduler, SchedulerSettings};
 use std::collections::BTreeMap;
 
 pub(crate) use config::config;
@@ -28,6 +28,12 @@
 /// The time of day at the start, in milliseconds since 1970.
 pub(crate) const START_WALL_MS: i64 = 1_000_000;
 
+/// More resources than the jobs in most tests need.
+const AMPLE_RESOURCES: CoreResources = CoreResources {
+    memory_mb: 1_024.0,
+    disk_mb: None,
+};
+
 /// An active run on a simulated runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RunningTask {
@@ -64,32 +70,46 @@
     pub replies: Vec<ClientReply>,
     /// The committed records.
     pub records: BTreeMap<Vec<u8>, Vec<u8>>,
+    /// The resources of the machine of each core process.
+    resources: CoreResources,
     /// The number of the newest client request.
     last_request: u64,
 }
 
 /// Creates the scheduler of a term.
-pub(crate) fn start_scheduler(now: Now, term: Term, seed: u64, state: StoredState) -> Scheduler {
+pub(crate) fn start_scheduler(now: Now, term: Term, seed: u64, state: &StoredState) -> Scheduler {
     let restored = Restored {
         term,
         node: NodeId { ip: 9, port: 9 },
-        records: state.records,
-        config: state.config,
+        records: &state.records,
+        config: state.config.clone(),
         seed,
     };
     let settings = SchedulerSettings {
         bounds: Bounds::default(),
+        resources: state.resources,
     };
     Scheduler::new(settings, now, restored)
 }
 
 /// The stored state from which a term starts.
-#[derive(Default)]
 pub(crate) struct StoredState {
-    /// The records, sorted by key.
-    pub records: Vec<(Vec<u8>, Vec<u8>)>,
+    /// The records, by key.
+    pub records: BTreeMap<Vec<u8>, Vec<u8>>,
     /// The configuration in force.
     pub config: Option<ConfigInForce>,
+    /// The resources of the machine.
+    pub resources: CoreResources,
+}
+
+impl Default for StoredState {
+    fn default() -> StoredState {
+        StoredState {
+            records: BTreeMap::new(),
+            config: None,
+            resources: AMPLE_RESOURCES,
+        }
+    }
 }
 
 /// Returns the address of the agent of the runner with this number.
@@ -109,24 +129,30 @@
 
     /// Creates the cluster of `new` with another configuration.
     pub(crate) fn with_config(runners: u32, config: ConfigInForce) -> TestCluster {
+        let state = StoredState {
+            config: Some(config),
+            ..StoredState::default()
+        };
+        TestCluster::with_state(runners, state)
+    }
+
+    /// Creates the cluster of `new` from a stored state.
+    pub(crate) fn with_state(runners: u32, state: StoredState) -> TestCluster {
         let now = Now {
             steady: Time(1_000_000),
             wall_ms: START_WALL_MS,
         };
-        let state = StoredState {
-            records: Vec::new(),
-            config: Some(config),
-        };
         let mut cluster = TestCluster {
-            scheduler: start_scheduler(now, 1, FIRST_SEED, state),
+            scheduler: start_scheduler(now, 1, FIRST_SEED, &state),
             now,
             term: 1,
+            resources: state.resources,
             runners: (0..runners)
                 .map(|number| (node(number), SimulatedRunner::new(number)))
                 .collect(),
             commands: BTreeMap::new(),
             replies: Vec::new(),
-            records: BTreeMap::new(),
+            records: state.records,
             last_request: 0,
         };
         cluster.report_all();
@@ -138,10 +164,15 @@
     pub(crate) fn start_next_term(&mut self, config: ConfigInForce) {
         self.term += 1;
         let state = StoredState {
-            records: self.records.clone().into_iter().collect(),
+            records: std::mem::take(&mut self.records),
             config: Some(config),
+            resources: self.resources,
         };
-        self.scheduler = start_scheduler(self.now, self.term, LATER_SEED, state);
+        // The former scheduler is gone before the next one starts.
+        let nothing = StoredState::default();
+        self.scheduler = start_scheduler(self.now, self.term, LATER_SEED, &nothing);
+        self.scheduler = start_scheduler(self.now, self.term, LATER_SEED, &state);
+        self.records = state.records;
         self.commands.clear();
     }
 
@@ -171,7 +202,8 @@
         while let Some(batch) = self.scheduler.take_batch() {
             for operation in batch.operations {
                 match operation {
-                    RecordOperation::Put { key, value } => self.records.insert(key, value),
+                    // A replica holds a copy, without the capacity that the batch has to spare.
+                    RecordOperation::Put { key, value } => self.records.insert(key, value.clone()),
                     RecordOperation::Delete { key } => self.records.remove(&key),
                 };
             }
--- a/crates/testing/simulation/src/real.rs
+++ b/crates/testing/simulation/src/real.rs
@@ -8,7 +8,7 @@
 use sagetrail_protocol::bounds::Bounds;
 use sagetrail_protocol::node::{Node, Now, Outbox};
 use sagetrail_protocol::service::{Restored, Service, ServiceFactory};
-use sagetrail_scheduler::{Scheduler, SchedulerSettings};
+use sagetrail_scheduler::{CoreResources, Scheduler, SchedulerSettings};
 
 /// The processes as they run in service.
 pub fn factories() -> Factories {
@@ -43,10 +43,19 @@
     })
 }
 
+/// The resources of the machine of a core process.
+const CORE_RESOURCES: CoreResources = CoreResources {
+    memory_mb: 256.0,
+    disk_mb: Some(128.0),
+};
+
 fn scheduler(bounds: Bounds) -> ServiceFactory {
-    Box::new(move |now: Now, restored: Restored| {
-        let service: Box<dyn Service + Send> =
-            Box::new(Scheduler::new(SchedulerSettings { bounds }, now, restored));
+    Box::new(move |now: Now, restored: Restored<'_>| {
+        let settings = SchedulerSettings {
+            bounds,
+            resources: CORE_RESOURCES,
+        };
+        let service: Box<dyn Service + Send> = Box::new(Scheduler::new(settings, now, restored));
         service
     })
 }
