control-plane: a change to a configuration that no message can hold is refused

Cause: a patch has at most 4 MiB, but the document that patches lead to had no limit. Beyond 16 MiB no message of the register can hold it, so that no change and no read completes any more.

Change: a change that leads to more than 8 MiB is answered with 400 and both lengths.

--- a/crates/cluster/cluster-config/src/error.rs
+++ b/crates/cluster/cluster-config/src/error.rs
@@ -26,6 +26,14 @@
         /// The version of the current configuration; 0 if there is none.
         current: u64,
     },
+    /// The resulting document is longer than a configuration may be.
+    #[error("the configuration would have {bytes} bytes, at most {limit}")]
+    TooLong {
+        /// The length of the document.
+        bytes: usize,
+        /// The longest document that is accepted.
+        limit: usize,
+    },
     /// A patch was sent but there is no configuration yet.
     #[error("there is no configuration to patch")]
     NothingToPatch,
--- a/crates/cluster/control-plane/src/change.rs
+++ b/crates/cluster/control-plane/src/change.rs
@@ -2,11 +2,16 @@
 
 use crate::value::{RegisterValue, StoredConfig};
 use sagetrail_cluster_config::{patch_unchecked, ConfigDocument, ConfigError, StoredDocument};
+use sagetrail_protocol::collections::MAX_BLOB_BYTES;
 use sagetrail_protocol::control::AcceptedChange;
 pub(crate) use sagetrail_protocol::control::ChangeKind;
 use sagetrail_protocol::Blob;
 use sha2::{Digest, Sha256};
 
+/// The longest document that a change may lead to, in bytes. It leaves room for the other parts of a message with the
+/// register's value, whose byte strings have a limit as well.
+const MAX_DOCUMENT_BYTES: usize = MAX_BLOB_BYTES / 2;
+
 /// A configuration change as the operator sent it.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub(crate) struct Change {
@@ -36,12 +41,19 @@
     ///
     /// # Errors
     ///
-    /// Returns the rule for configurations that the resulting document violates.
+    /// Returns the rule for configurations that the resulting document violates, or its length if it is too long.
     pub(crate) fn apply_to(&self, value: &RegisterValue) -> Result<RegisterValue, ConfigError> {
         let document = self.document(&value.config)?;
+        let bytes = document.to_bytes();
+        if bytes.len() > MAX_DOCUMENT_BYTES {
+            return Err(ConfigError::TooLong {
+                bytes: bytes.len(),
+                limit: MAX_DOCUMENT_BYTES,
+            });
+        }
         let config = StoredConfig {
             version: document.version,
-            document: Blob(document.to_bytes()),
+            document: Blob(bytes),
         };
         Ok(self.next_value(value.clone(), config))
     }
